--- /dev/null
+++ b/weldbend/__init__.py
@@ -0,0 +1,1 @@
+"""A front for caches of large objects behind thin links."""
--- /dev/null
+++ b/weldbend/interface.py
@@ -0,0 +1,273 @@
+"""What passes between a door and the decisions: events in, actions out, and the facts of a site.
+
+A door (today `weldbend.simhost`) turns its protocol into these types and back. Times are float seconds,
+ages and waits too; sizes are in units of one second of sending at a client's top pace (`work`).
+"""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+
+class Effect(Enum):
+    """What a second run of a download would do."""
+
+    RETRIABLE = auto()
+    DEDUPED = auto()
+    NON_RETRIABLE = auto()
+
+
+class Scope(Enum):
+    """Which caches drop the repeats of a deduped download."""
+
+    ALL = auto()
+    ZONE = auto()
+    CELL = auto()
+
+
+class Role(Enum):
+    """What a listed cache is for."""
+
+    EDGE = auto()
+    PARENT = auto()
+    ORIGIN = auto()
+
+
+class Phase(Enum):
+    """The state the list gives a cache."""
+
+    READY = auto()
+    DRAINING = auto()
+    GONE = auto()
+
+
+class Scale(Enum):
+    """How a list replaces the one held before."""
+
+    CHANGES = auto()
+    WHOLE = auto()
+    REMEMBERED = auto()
+    FAILED = auto()
+
+
+class Result(Enum):
+    """How a pull ended."""
+
+    FULFILLED = auto()
+    ERROR = auto()
+    TURNED_AWAY = auto()
+    TIMED_OUT = auto()
+    UNREACHED = auto()
+    RESET = auto()
+    CALLED_OFF = auto()
+    MOOT = auto()
+    MISS = auto()
+
+
+class Hint(Enum):
+    """What an answer tells of its fill, where a site tells it."""
+
+    NONE = auto()
+    HIT = auto()
+    FILLED = auto()
+    FROM_ORIGIN = auto()
+    JOINED = auto()
+    OLD = auto()
+    SOURCE_REFUSED = auto()
+    SOURCE_BROKE = auto()
+    SOURCE_LACKS = auto()
+    NO_PLACE = auto()
+    ORIGIN_FAILED = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class ContentType:
+    """What a site says of one type of content."""
+
+    name: str
+    effect: Effect
+    scope: Scope
+    window: float
+    target: float
+    stretch: float
+    expiry: float
+    benefit: float
+    fresh: float
+    grace: float
+    at_origin: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SiteFacts:
+    """What a front is told once, when it starts."""
+
+    zone: str
+    hub: str
+    fronts: int
+    zone_fronts: int
+    types: dict[str, ContentType]
+    tick: float
+    answer_slack: float
+    drain_grace: float
+    ask_within: float
+    subscribes: bool
+    weighted: bool
+    second_copies: bool
+    calls_off: bool
+    most_pulls: int
+    longest_wait: float
+    direct: bool
+    joins: bool
+    peers: bool
+    cold_floor: float
+    cold_time: float
+    cold_multiple: float
+    cold_window: float
+    parent_floor: float
+    parent_time: float
+    parent_multiple: float
+    purge_slack: float
+    purge_done: float
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One line of the list of caches."""
+
+    id: int
+    weight: float
+    zone: str
+    cell: int
+    role: Role
+    phase: Phase
+    started: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    scale: Scale
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    id: str
+    key: str
+    part: int
+    group: int
+    type: str
+    work: float
+    repeat: bool
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Began:
+    id: str
+    pull: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    id: str
+    pull: int
+    result: Result
+    took: float
+    closed: bool
+    hint: Hint
+    waited: float
+    load: dict[str, float] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Purged:
+    key: str | None
+    group: int
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class Woke:
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    cache: int
+    result: Result
+    took: float
+    load: dict[str, float] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    front: int
+    text: bytes
+
+
+Event = Listed | Asked | Began | Ended | Left | Purged | Woke | Probed | Told
+
+
+@dataclass(frozen=True, slots=True)
+class SendPull:
+    id: str
+    cache: int
+    source: int | None
+    rank: int
+    age: float
+    patience: float
+    join: bool
+    only_held: bool
+    leave_no_copy: bool
+    renew: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CallOff:
+    id: str
+    pull: int
+
+
+@dataclass(frozen=True, slots=True)
+class Throttle:
+    id: str
+    wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    delay: float
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    cache: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    front: int | None
+    text: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """Subscribe to changes of the list."""
+
+
+@dataclass(frozen=True, slots=True)
+class Remark:
+    text: str
+
+
+Action = SendPull | CallOff | Throttle | Abandon | Wake | Probe | Tell | Watch | Remark
--- /dev/null
+++ b/weldbend/logic.py
@@ -0,0 +1,670 @@
+"""Which cache answers a download, where a miss is filled from, and where a copy stays.
+
+How to call: `router = Router(seed, facts)`, then `router.handle(now, events)` for each batch of events;
+it returns the actions in order. `now` never goes back. A restarted front is a new Router.
+The types of events, actions and facts are in `weldbend/interface.py`; docs/design.md gives the reasons.
+"""
+
+import math
+import random
+import zlib
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Iterator
+from hashlib import blake2b
+from typing import Any, NamedTuple
+
+from weldbend import interface as face
+from weldbend.interface import Effect, Hint, Phase, Result, Role, Scale, Scope
+
+ALPHA, BETA, GAMMA = 1, 1, 1  # the paper's weights of V_k, V_hop and V_hitk
+V_HOP = {Role.EDGE: 2, Role.PARENT: 1}
+KMAX = 5  # the paper's highest prefilter level
+DEPTH = 2  # prefilter level from which the edge may keep a copy
+TABLE = 8192  # objects that the prefilter remembers
+RANK = 2  # rank of a copy that passed the prefilter
+MEMORY = 10.0  # seconds of the ring buckets
+BAR = 0.8  # a doubtful cache must draw this share of its peers' success
+SHARE = 0.5  # what a failure leaves of a limit
+LEAST, MOST = 2.0, 64.0  # bounds of a cache's limit on what is in flight
+PATIENCE = 3.5  # expected times that a pull may take before it is doubted
+GAPS = 8.0  # usual gaps between answers after which a cache counts as silent
+SWEEP = 0.2  # seconds between looks for silent caches
+FURTHER = 0.25  # further pulls for each download, in MEMORY
+CARE = 0.6  # part of a cold cache's budget that is used
+NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
+AT_SOURCE = {Hint.SOURCE_REFUSED, Hint.SOURCE_BROKE, Hint.SOURCE_LACKS, Hint.ORIGIN_FAILED}
+FILLED = {Hint.FILLED: 1.0, Hint.FROM_ORIGIN: 1.0, Hint.NONE: 0.25}  # how far an answer speaks for its source
+
+
+class Chance(random.Random):
+    """The usual distributions over crc32 of the seed and a counter."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(0)
+        self.start, self.count = seed, 0
+
+    def random(self) -> float:
+        self.count += 1
+        return zlib.crc32(b"%d:%d" % (self.start, self.count)) / 2**32
+
+
+class Buckets:
+    """A sum over the last `span` seconds, in fixed buckets used again in a ring."""
+
+    def __init__(self, span: float = MEMORY, parts: int = 10) -> None:
+        self.width, self.at = span / parts, 0
+        self.sums = [0.0] * (parts + 1)
+
+    def add(self, now: float, amount: float = 1.0) -> None:
+        self.total(now)
+        self.sums[self.at % len(self.sums)] += amount
+
+    def total(self, now: float) -> float:
+        current = int(now / self.width)
+        for old in range(max(self.at + 1, current - len(self.sums) + 1), current + 1):
+            self.sums[old % len(self.sums)] = 0.0
+        self.at = max(self.at, current)
+        return sum(self.sums)
+
+
+class Seen(NamedTuple):
+    dl: "Download"
+
+
+class Level(NamedTuple):
+    level: int
+    v_k: float
+
+
+class Choose(NamedTuple):
+    dl: "Download"
+
+
+class Plan(NamedTuple):
+    dl: "Download"
+    cache: "Cache"
+    source: "Cache | None"
+    rank: int = 0
+    leave: bool = False
+
+
+class Stuck(NamedTuple):
+    """No pull now; `culprit` is the cache in the way, if another would do."""
+
+    culprit: "Cache | None"
+
+
+class Went(NamedTuple):
+    pull: "Pull"
+
+
+class Done(NamedTuple):
+    pull: "Pull"
+    closed: bool
+
+
+class Good(NamedTuple):
+    amount: float
+
+
+class Bad(NamedTuple):
+    amount: float
+
+
+class Doubt(NamedTuple):
+    pull: "Pull"
+
+
+class Close(NamedTuple):
+    dl: "Download"
+
+
+class Sweep(NamedTuple):
+    pass
+
+
+class Pull:
+    """One pull of a download; the Gate writes it."""
+
+    def __init__(self, plan: Plan, number: int, now: float, work: float) -> None:
+        self.dl, self.cache, self.source = plan.dl, plan.cache, plan.source
+        self.number, self.sent, self.work = number, now, work
+        self.result: Result | None = None
+        self.hint, self.took, self.doubted = Hint.NONE, 0.0, False
+
+
+class Actor:
+    """A part with an inbox; only the Router's loop empties it."""
+
+    def __init__(self, router: "Router") -> None:
+        self.router = router
+        self.inbox: deque[Any] = deque()
+
+    def take(self, note: Any) -> None:
+        raise NotImplementedError
+
+
+class Cache(Actor):
+    """An edge cache, a parent or the origin, and what this front has seen of it."""
+
+    def __init__(self, router: "Router", entry: face.Entry) -> None:
+        super().__init__(router)
+        self.id, self.role, self.zone, self.cell = entry.id, entry.role, entry.zone, entry.cell
+        self.phase, self.weight, self.started = entry.phase, entry.weight, entry.started
+        self.reset()
+
+    def reset(self) -> None:
+        self.good, self.bad, self.answers = Buckets(), Buckets(), Buckets()
+        self.out: dict[Pull, None] = {}
+        self.heard, self.failing, self.limit = -math.inf, False, MOST
+
+    def take(self, note: Any) -> None:
+        now = self.router.now
+        match note:
+            case face.Entry():
+                if note.started != self.started:
+                    self.started = note.started
+                    self.reset()
+                self.phase, self.weight = note.phase, note.weight
+            case Went(pull):
+                self.out[pull] = None
+            case Done(pull):
+                self.out.pop(pull, None)
+                if pull.result not in (Result.TIMED_OUT, Result.CALLED_OFF, Result.UNREACHED, Result.MOOT):
+                    self.heard = now
+                    self.answers.add(now)
+            case Good(amount):
+                self.good.add(now, amount)
+                self.failing = False
+                self.limit = min(MOST, self.limit + 1)
+            case Bad(amount):
+                self.bad.add(now, amount)
+                if amount > 0.5:
+                    self.failing = True
+                    self.limit = max(LEAST, self.limit * SHARE)
+            case Sweep():
+                self.listen(now)
+
+    def listen(self, now: float) -> None:
+        """Guards against a cache that takes pulls and answers none (dead machine, cut wire, standstill).
+
+        Its pulls are doubted long before their patience ends. Harm: a cache asked seldom looks silent
+        when its few answers are long ones, so two pulls must be out and the gap be many usual ones.
+        """
+        if len(self.out) < 2:
+            return
+        waiting = now - max(self.heard, next(iter(self.out)).sent)
+        usual = MEMORY / max(self.answers.total(now), 1.0)
+        if waiting > min(max(GAPS * usual, 0.4), 2.0):
+            for pull in self.out:
+                if not pull.doubted:
+                    self.router.post(pull.dl, Doubt(pull))
+
+    def share_bad(self) -> float:
+        good, bad = self.good.total(self.router.now), self.bad.total(self.router.now)
+        return (bad + 0.5) / (good + bad + 1)
+
+    def trusted(self, peers: float) -> bool:
+        """Guards against caches that fail fast, partly or slowly: a draw from the posterior decides.
+
+        Measured against the peers, so that a trouble that strikes all alike scatters nothing. Harm: after
+        a short trouble a sound cache is passed by for up to MEMORY.
+        """
+        bad = self.bad.total(self.router.now)
+        if bad < 0.5:
+            return not (self.failing and self.out)
+        if self.failing and len(self.out) >= self.limit:
+            return False
+        return self.router.chance.betavariate(1 + self.good.total(self.router.now), 1 + bad) > BAR * peers
+
+
+class Prefilter(Actor):
+    """LRU-K: how often this front was asked for an object, in a bounded table."""
+
+    def __init__(self, router: "Router") -> None:
+        super().__init__(router)
+        self.levels: OrderedDict[str, int] = OrderedDict()
+
+    def take(self, note: Seen) -> None:
+        name = note.dl.name
+        level = self.levels.pop(name, 0)
+        if not (note.dl.asked.repeat and level):
+            level = min(level + 1, KMAX)
+        self.levels[name] = level
+        if len(self.levels) > TABLE:
+            self.levels.popitem(last=False)
+        self.router.post(note.dl, Level(level, 1 - len(self.levels) / TABLE))
+
+
+class Placement(Actor):
+    """The paper's values and rates, and the hash that picks caches."""
+
+    def __init__(self, router: "Router") -> None:
+        super().__init__(router)
+        self.fills = {role: Buckets() for role in V_HOP}
+        self.keeps = {role: Buckets() for role in V_HOP}
+
+    def take(self, note: Choose) -> None:
+        dl = note.dl
+        target = self.target(dl)
+        if target is None:
+            self.router.post(dl, Stuck(None))
+            return
+        source = None if target.role is Role.ORIGIN else self.source(dl, target)
+        plan = Plan(dl, target, source)
+        if source is not None and not dl.type.at_origin:
+            plan = self.keep(plan)
+        self.router.post(self.router.gate, plan)
+
+    def keep(self, plan: Plan) -> Plan:
+        """The two tests: best value and lowest cache rate keep the copy, the others leave none."""
+        now, dl = self.router.now, plan.dl
+        tiers = {c.role for c in (plan.cache, plan.source) if c is not None and c.role in V_HOP}
+        admitted = [t for t in V_HOP if t in tiers and (t is Role.PARENT or dl.level >= DEPTH)]
+        value = {t: ALPHA * dl.v_k + BETA * V_HOP[t] + GAMMA * dl.level for t in admitted}
+        rate = {t: self.keeps[t].total(now) / max(self.fills[t].total(now), 1.0) for t in admitted}
+        chosen = (
+            {max(admitted, key=value.__getitem__), min(admitted, key=rate.__getitem__)} if admitted else set()
+        )
+        for tier in tiers:
+            self.fills[tier].add(now)
+            self.keeps[tier].add(now, tier in chosen)
+        return plan._replace(
+            rank=RANK if Role.EDGE in chosen else 0, leave=Role.PARENT in tiers and Role.PARENT not in chosen
+        )
+
+    def target(self, dl: "Download") -> Cache | None:
+        edges = [c for c in self.listed(Role.EDGE) if c.zone == self.router.facts.zone]
+        if dl.type.at_origin and self.router.facts.direct:
+            return self.pick(dl, self.listed(Role.ORIGIN))
+        edge = self.pick(dl, edges)
+        if edge is None and self.router.facts.direct:
+            return self.pick(dl, self.listed(Role.PARENT)) or self.pick(dl, self.listed(Role.ORIGIN))
+        return edge
+
+    def source(self, dl: "Download", target: Cache) -> Cache:
+        """The hub's parent by hash, then any by hash, then the origin; the target itself fills nothing."""
+        parents = [] if target.role is Role.PARENT else self.listed(Role.PARENT)
+        near = [c for c in parents if c.zone == self.router.facts.hub] or parents
+        origins = self.listed(Role.ORIGIN)
+        picked = self.pick(dl, near, sure=True) or self.pick(dl, parents, sure=True) or self.pick(dl, origins)
+        return picked or self.pick(dl, parents) or target
+
+    def pick(self, dl: "Download", caches: list[Cache], sure: bool = False) -> Cache | None:
+        """The first by hash that is trusted; unless `sure`, else the first that is not ruled out."""
+        ranked = [c for c in self.ranked(dl, caches) if c not in dl.ruled_out]
+        fresh = [c for c in ranked if c not in dl.failed]
+        peers = 1 - sum(c.share_bad() for c in caches) / max(len(caches), 1)
+        for cache in fresh:
+            if cache.trusted(peers):
+                return cache
+        return None if sure else next(iter(fresh or ranked), None)
+
+    def ranked(self, dl: "Download", caches: list[Cache]) -> list[Cache]:
+        """Weighted rendezvous, the same at every front."""
+
+        def rank(cache: Cache) -> float:
+            digest = blake2b(f"{dl.name} {cache.id}".encode(), digest_size=7).digest()
+            drawn = (int.from_bytes(digest) + 1) / (2**56 + 1)
+            return math.log(drawn) / (
+                cache.weight if self.router.facts.weighted and cache.weight > 0 else 1.0
+            )
+
+        return sorted(caches, key=rank, reverse=True)
+
+    def listed(self, role: Role) -> list[Cache]:
+        return [c for c in self.router.caches.values() if c.role is role and c.phase is Phase.READY]
+
+
+class Gate(Actor):
+    """Every pull and every final answer passes here, and each rule is kept here once."""
+
+    def __init__(self, router: "Router") -> None:
+        super().__init__(router)
+        self.purges: dict[str | int, float] = {}
+        self.sent: dict[Cache, Buckets] = {}  # work put to a cache, over the window in which it could fall
+        self.downloads, self.further = Buckets(), Buckets()
+
+    def take(self, note: Any) -> None:
+        match note:
+            case face.Asked():
+                self.downloads.add(self.router.now)
+            case Plan():
+                stuck = self.refusal(note)
+                if stuck is None:
+                    self.send(note)
+                else:
+                    self.router.post(note.dl, stuck)
+            case face.Ended():
+                self.end(note)
+            case Doubt(pull) if pull.result is None and self.router.facts.calls_off:
+                self.router.act(face.CallOff(pull.dl.asked.id, pull.number))
+            case face.Purged():
+                self.purged(note)
+            case Close(dl):
+                self.answer(dl)
+
+    def refusal(self, plan: Plan) -> Stuck | None:
+        dl, now, facts = plan.dl, self.router.now, self.router.facts
+        if dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls or not self.harmless(plan):
+            return Stuck(None)
+        if dl.pulls and self.further.total(now) >= FURTHER * self.downloads.total(now) + 2:
+            return Stuck(None)
+        for cache in (plan.cache, plan.source):
+            if cache is not None and (cache.phase is not Phase.READY or not self.bears(cache, dl)):
+                return Stuck(cache)
+        return None
+
+    def harmless(self, plan: Plan) -> bool:
+        """No effect twice, and never two pulls out where a site forbids it."""
+        dl, now = plan.dl, self.router.now
+        if not self.router.facts.second_copies and any(p.result is None for p in dl.pulls):
+            return False
+        maybe = [p for p in dl.pulls if p.result not in NOT_RUN]
+        if not maybe or dl.type.effect is Effect.RETRIABLE:
+            return True
+        if dl.type.effect is Effect.NON_RETRIABLE:
+            return False
+        first = maybe[0]
+        if now >= first.sent + dl.type.window - 2 * self.router.facts.tick:
+            return False
+        cache = plan.cache
+        match dl.type.scope:
+            case Scope.ALL:
+                return True
+            case Scope.ZONE:
+                return all(p.cache.zone == cache.zone for p in maybe)
+        return all(p.cache.cell == cache.cell for p in maybe)
+
+    def bears(self, cache: Cache, dl: "Download") -> bool:
+        """A cache that started lately gets this front's share of what it can bear, and no more."""
+        now, facts = self.router.now, self.router.facts
+        if cache.started is None or cache.role is Role.ORIGIN:
+            return True
+        parent = cache.role is Role.PARENT
+        floor, rise = (
+            (facts.parent_floor, facts.parent_time) if parent else (facts.cold_floor, facts.cold_time)
+        )
+        age = now - cache.started - facts.cold_window
+        if age >= rise:
+            return True
+        part = floor + (1 - floor) * max(age, 0.0) / rise
+        multiple, fronts = (
+            (facts.parent_multiple, facts.fronts) if parent else (facts.cold_multiple, facts.zone_fronts)
+        )
+        most = multiple * part * self.capacity(cache, fronts) * facts.cold_window * CARE
+        return self.tally(cache).total(now) + self.router.mean_work(dl.type) <= most
+
+    def capacity(self, cache: Cache, fronts: int) -> float:
+        """This front's share of a cache's link in flows: as listed, else as warm ones were seen to bear."""
+        if self.router.facts.weighted:
+            return cache.weight / fronts
+        now, window = self.router.now, self.router.facts.cold_window
+        peers = [c for c in self.sent if c.role is cache.role and c is not cache and c.started is None]
+        seen = [self.sent[c].total(now) / window for c in peers]
+        return max([sum(seen) / len(seen) if seen else 0.0, 0.5])
+
+    def tally(self, cache: Cache) -> Buckets:
+        return self.sent.setdefault(cache, Buckets(self.router.facts.cold_window))
+
+    def send(self, plan: Plan) -> None:
+        dl, now = plan.dl, self.router.now
+        pull = Pull(plan, len(dl.pulls), now, self.router.mean_work(dl.type))
+        if dl.pulls:
+            self.further.add(now)
+        dl.pulls.append(pull)
+        for cache in {plan.cache, plan.source} - {None}:
+            self.tally(cache).add(now, pull.work)
+        source = plan.source
+        self.router.act(
+            face.SendPull(
+                id=dl.asked.id,
+                cache=plan.cache.id,
+                source=source.id if source else None,
+                rank=plan.rank,
+                age=self.age(dl),
+                patience=0.0,
+                join=self.router.facts.joins,
+                only_held=False,
+                leave_no_copy=plan.leave,
+                renew=False,
+            )
+        )
+        self.router.post(plan.cache, Went(pull))
+        self.router.post(dl, Went(pull))
+
+    def age(self, dl: "Download") -> float:
+        """Oldest copy that will do: never one older than a purge that this front knows of."""
+        past = [self.purges[name] for name in (dl.asked.key, dl.asked.group) if name in self.purges]
+        if not past:
+            return 0.0
+        since = max(self.router.now - max(past) - 0.001, 2e-6)
+        return min(since, dl.type.fresh) if dl.type.fresh else since
+
+    def purged(self, note: face.Purged) -> None:
+        facts, now = self.router.facts, self.router.now
+        name = note.group if note.key is None else note.key
+        self.purges = {
+            n: at for n, at in self.purges.items() if now - at < facts.purge_done + 2 * facts.purge_slack
+        }
+        self.purges[name] = max(now - note.age, self.purges.get(name, -math.inf))
+
+    def end(self, note: face.Ended) -> None:
+        dl = self.router.downloads.get(note.id)
+        if dl is None:
+            return
+        pull = dl.pulls[note.pull]
+        pull.result, pull.hint, pull.took = note.result, note.hint, note.took
+        self.router.post(pull.cache, Done(pull, note.closed))
+        self.router.post(dl, Done(pull, note.closed))
+
+    def answer(self, dl: "Download") -> None:
+        """The one final answer that is not a fulfilled pull."""
+        if dl.closed:
+            return
+        maybe = any(p.result not in NOT_RUN for p in dl.pulls)
+        effect, scope = dl.type.effect, dl.type.scope
+        promise = effect is Effect.RETRIABLE or not maybe or (effect is Effect.DEDUPED and scope is Scope.ALL)
+        wait = min(self.router.facts.longest_wait, 0.5)
+        self.router.act(face.Throttle(dl.asked.id, wait) if promise else face.Abandon(dl.asked.id))
+        self.router.post(dl, face.Left(dl.asked.id))
+
+
+class Download(Actor):
+    """One download, from the client's asking to its one final answer."""
+
+    def __init__(self, router: "Router", asked: face.Asked, kind: face.ContentType) -> None:
+        super().__init__(router)
+        self.asked, self.type = asked, kind
+        self.name = (
+            f"{asked.key} {asked.part}"  # a copy is a copy of one part: the prefilter and hash go by parts
+        )
+        self.pulls: list[Pull] = []
+        self.failed: set[Cache] = set()
+        self.ruled_out: set[Cache] = set()
+        self.closed, self.level, self.v_k = False, 0, 0.0
+
+    def out(self) -> list[Pull]:
+        return [p for p in self.pulls if p.result is None]
+
+    def take(self, note: Any) -> None:
+        router = self.router
+        match note:
+            case Done(pull, closed):
+                self.done(pull, closed)
+            case face.Left():
+                self.close()
+            case _ if self.closed:
+                pass
+            case face.Asked():
+                margin = 2 * router.facts.tick
+                router.act(
+                    face.Wake(max(self.asked.until - router.now - margin, 0.0), f"end:{self.asked.id}")
+                )
+                router.post(router.gate, note)
+                router.post(router.prefilter, Seen(self))
+            case Level(level, v_k):
+                self.level, self.v_k = level, v_k
+                router.post(router.placement, Choose(self))
+            case Went(pull):
+                router.act(face.Wake(PATIENCE * router.expected(self), f"slow:{self.asked.id}:{pull.number}"))
+            case Stuck(None):
+                if not self.out():
+                    router.post(router.gate, Close(self))
+            case Stuck(culprit):
+                self.ruled_out.add(culprit)
+                router.post(router.placement, Choose(self))
+            case face.Began():
+                self.closed = True
+            case Doubt(pull) if pull.result is None and not pull.doubted:
+                self.doubt(pull)
+            case face.Woke():
+                router.post(router.gate, Close(self))
+
+    def doubt(self, pull: Pull) -> None:
+        """Past its patience: another pull beside it, or in its place where two may not be out."""
+        pull.doubted = True
+        self.blame(pull)
+        if self.type.effect is Effect.NON_RETRIABLE:
+            return
+        if self.router.facts.second_copies:
+            self.router.post(self.router.placement, Choose(self))
+        else:
+            self.router.post(self.router.gate, Doubt(pull))
+
+    def done(self, pull: Pull, closed: bool) -> None:
+        router = self.router
+        if pull.result is Result.FULFILLED:
+            router.learn(self, pull.took)
+            router.post(pull.cache, Good(1.0))
+            if pull.source is not None:
+                router.post(pull.source, Good(FILLED.get(pull.hint, 0.0)))
+        elif pull.result not in (Result.CALLED_OFF, Result.MOOT, Result.MISS) and not pull.doubted:
+            self.blame(pull)
+        if closed:
+            self.close()
+        if not self.closed and not self.out():
+            if pull.result is Result.MISS:
+                self.failed.add(pull.cache)
+            router.post(router.placement, Choose(self))
+        if self.closed and not self.out():
+            router.downloads.pop(self.asked.id, None)
+
+    def blame(self, pull: Pull) -> None:
+        """Share a failure between edge and source by what each has failed with others."""
+        cache, source = pull.cache, pull.source
+        if source is None or source is cache or pull.result in (Result.UNREACHED, Result.RESET):
+            part = 1.0
+        elif pull.hint in AT_SOURCE:
+            part = 0.0
+        elif pull.hint is Hint.NO_PLACE:
+            part = 1.0
+        else:
+            part = cache.share_bad() / (cache.share_bad() + source.share_bad())
+        self.router.post(cache, Bad(part))
+        if source is not None and part < 1:
+            self.router.post(source, Bad(1 - part))
+        self.failed.add(cache if part >= 0.5 or source is None else source)
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            if self.router.facts.calls_off:
+                for pull in self.out():
+                    self.router.act(face.CallOff(self.asked.id, pull.number))
+        if not self.out():
+            self.router.downloads.pop(self.asked.id, None)
+
+
+class Router:
+    """The door: ids become objects here, and one loop empties every inbox."""
+
+    def __init__(self, seed: int, facts: face.SiteFacts) -> None:
+        self.facts, self.now = facts, 0.0
+        self.chance = Chance(seed)
+        self.caches: dict[int, Cache] = {}
+        self.downloads: dict[str, Download] = {}
+        self.prefilter, self.placement, self.gate = Prefilter(self), Placement(self), Gate(self)
+        self.pace = {name: (Buckets(), Buckets()) for name in facts.types}
+        self.mean = dict.fromkeys(facts.types, (0.0, 0))
+        self.busy: deque[Actor] = deque()
+        self.actions: list[face.Action] = []
+        self.swept = False
+
+    def post(self, actor: Actor, note: Any) -> None:
+        actor.inbox.append(note)
+        self.busy.append(actor)
+
+    def act(self, action: face.Action) -> None:
+        self.actions.append(action)
+
+    def handle(self, now: float, events: Iterable[face.Event]) -> list[face.Action]:
+        self.now, self.actions = now, []
+        if not self.swept:
+            self.swept = True
+            self.act(face.Wake(SWEEP, "sweep"))
+            if self.facts.subscribes:
+                self.act(face.Watch())
+        for event in events:
+            for actor, note in self.notes(event):
+                self.post(actor, note)
+            while self.busy:
+                actor = self.busy.popleft()
+                actor.take(actor.inbox.popleft())
+        return self.actions
+
+    def notes(self, event: face.Event) -> Iterator[tuple[Actor, Any]]:
+        match event:
+            case face.Listed():
+                yield from self.listed(event)
+            case face.Asked():
+                dl = self.downloads[event.id] = Download(self, event, self.facts.types[event.type])
+                yield dl, event
+            case face.Ended() | face.Purged():
+                yield self.gate, event
+            case face.Left() | face.Began():
+                if event.id in self.downloads:
+                    yield self.downloads[event.id], event
+            case face.Woke("sweep"):
+                self.act(face.Wake(SWEEP, "sweep"))
+                yield from ((cache, Sweep()) for cache in self.caches.values())
+            case face.Woke("watch"):
+                self.act(face.Watch())
+            case face.Woke(token):
+                why, name, *pull = token.split(":")
+                dl = self.downloads.get(name)
+                if dl is not None:
+                    yield dl, (Doubt(dl.pulls[int(pull[0])]) if why == "slow" else event)
+
+    def listed(self, event: face.Listed) -> Iterator[tuple[Actor, Any]]:
+        if event.scale is Scale.FAILED:
+            if self.facts.subscribes:
+                self.act(face.Wake(self.facts.ask_within / 20, "watch"))
+            return
+        named = {entry.id for entry in event.entries}
+        for entry in event.entries:
+            if entry.id not in self.caches:
+                self.caches[entry.id] = Cache(self, entry)
+            yield self.caches[entry.id], entry
+        if event.scale is not Scale.CHANGES:
+            for cache in self.caches.values():
+                if cache.id not in named:
+                    cache.phase = Phase.GONE
+
+    def learn(self, dl: Download, took: float) -> None:
+        times, scale = self.pace[dl.type.name]
+        times.add(self.now, took)
+        scale.add(self.now, dl.asked.work or 1.0)
+        total, count = self.mean[dl.type.name]
+        self.mean[dl.type.name] = total + (dl.asked.work or took), count + 1
+
+    def mean_work(self, kind: face.ContentType) -> float:
+        """Mean sending time of a content type, as seen so far and at first as its target time."""
+        total, count = self.mean[kind.name]
+        return (total + 4 * kind.target) / (count + 4)
+
+    def expected(self, dl: Download) -> float:
+        """How long such a download takes these days."""
+        times, scale = (b.total(self.now) for b in self.pace[dl.type.name])
+        work = max(dl.asked.work, 0.1) if dl.asked.work else 1.0
+        return max(work * (times + dl.type.target) / (scale + (work if dl.asked.work else 1.0)), 0.1)
--- /dev/null
+++ b/weldbend/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire before the decisions."""
--- /dev/null
+++ b/weldbend/simhost/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from weldbend.simhost.host import serve
+
+sys.exit(serve(sys.stdin, sys.stdout, sys.stderr))
--- /dev/null
+++ b/weldbend/simhost/wire.py
@@ -0,0 +1,242 @@
+"""The wire's words and units, to and from the interface."""
+
+import base64
+import json
+from typing import Any
+
+from weldbend import interface as face
+
+EFFECTS = {
+    "idempotent": face.Effect.RETRIABLE,
+    "deduplicated": face.Effect.DEDUPED,
+    "at_most_once": face.Effect.NON_RETRIABLE,
+}
+SCOPES = {"all": face.Scope.ALL, "zone": face.Scope.ZONE, "cell": face.Scope.CELL}
+PHASES = {"ready": face.Phase.READY, "draining": face.Phase.DRAINING, "gone": face.Phase.GONE}
+SCALES = {
+    "diff": face.Scale.CHANGES,
+    "snapshot": face.Scale.WHOLE,
+    "disk": face.Scale.REMEMBERED,
+    "error": face.Scale.FAILED,
+}
+RESULTS = dict(enumerate(face.Result, 1))
+HINTS = dict(enumerate(face.Hint))
+
+
+class Malformed(Exception):
+    """A line that the wire does not allow."""
+
+
+def split(line: str) -> tuple[str, str]:
+    head, _, rest = line.rstrip("\n").partition(" ")
+    return head, rest
+
+
+def whole(text: str) -> int:
+    try:
+        return int(text)
+    except ValueError:
+        raise Malformed(f"not a whole number: {text!r}") from None
+
+
+def number(text: str) -> float:
+    try:
+        return 0.0 if text == "-" else float(text)
+    except ValueError:
+        raise Malformed(f"not a number: {text!r}") from None
+
+
+def seconds(text: str) -> float:
+    return 0.0 if text == "-" else whole(text) / 1e6
+
+
+def micros(value: float) -> int:
+    return int(value * 1e6 + 1e-3)
+
+
+def values(name: str, rest: str, count: int) -> list[str]:
+    found = rest.split(" ") if rest else []
+    if len(found) < count:
+        raise Malformed(f"{name}: {len(found)} values, {count} wanted")
+    return found
+
+
+def known(name: str, table: dict[Any, Any], word: Any) -> Any:
+    if word not in table:
+        raise Malformed(f"unknown {name}: {word!r}")
+    return table[word]
+
+
+class Door:
+    """One instance's side of the wire: its facts, and what turns its events into ours."""
+
+    def __init__(self, rest: str) -> None:
+        seed, _, text = rest.partition(" ")
+        try:
+            conf = json.loads(text)
+        except ValueError as wrong:
+            raise Malformed(f"provision: settings are not JSON: {wrong}") from None
+        self.seed = whole(seed)
+        try:
+            self.facts = site_facts(conf)
+            kind = conf["family_info"]
+            self.flow = kind["one_flow_kb_per_s"]
+            self.roles = dict.fromkeys(conf["kinds"], face.Role.EDGE)
+            if kind["shield_kind"] >= 0:
+                self.roles[conf["kinds"][kind["shield_kind"]]] = face.Role.PARENT
+            self.roles[conf["kinds"][kind["root_kind"]]] = face.Role.ORIGIN
+        except KeyError as missing:
+            raise Malformed(f"provision: settings lack {missing}") from None
+
+    def listed(self, rest: str, lines: list[str]) -> face.Listed:
+        scale = known("scope", SCALES, values("view", rest, 3)[0])
+        return face.Listed(scale, tuple(self.entry(line) for line in lines))
+
+    def entry(self, line: str) -> face.Entry:
+        head, rest = split(line)
+        if head != "cache":
+            raise Malformed(f"expected a list entry, got {head!r}")
+        weight, zone, cache, started, kind, phase, cell = values("cache", rest, 7)[:7]
+        return face.Entry(
+            id=whole(cache),
+            weight=number(weight),
+            zone=zone,
+            cell=int(number(cell)),
+            role=known("kind", self.roles, kind),
+            phase=known("lifecycle", PHASES, phase),
+            started=seconds(started) or None,
+        )
+
+    def event(self, head: str, rest: str) -> face.Event:
+        """Any event of a running instance but the list."""
+        match head:
+            case "call":
+                name, key, flags, kind, group, _, part, size, until = values(head, rest, 9)[:9]
+                known("class", self.facts.types, kind)
+                return face.Asked(
+                    id=name,
+                    key=key,
+                    part=int(number(part)),
+                    group=int(number(group)),
+                    type=kind,
+                    work=number(size) / self.flow,
+                    repeat=bool(int(number(flags)) & 2),
+                    until=seconds(until),
+                )
+            case "report_back":
+                name, pull, _, result, took, closed, hint, waited, load = values(head, rest, 9)[:9]
+                return face.Ended(
+                    id=name,
+                    pull=whole(pull),
+                    result=known("status", RESULTS, whole(result)),
+                    took=seconds(took),
+                    closed=closed == "1",
+                    hint=known("info", HINTS, int(number(hint))),
+                    waited=seconds(waited),
+                    load=gauge(load),
+                )
+            case "established":
+                name, pull = values(head, rest, 4)[:2]
+                return face.Began(name, whole(pull))
+            case "dropped":
+                return face.Left(values(head, rest, 1)[0])
+            case "timeout_fired":
+                return face.Woke(values(head, rest, 1)[0])
+            case "purged":
+                key, age, group = values(head, rest, 3)[:3]
+                return face.Purged(None if not key.strip("0-") else key, int(number(group)), seconds(age))
+            case "echo":
+                cache, result, took, load = values(head, rest, 4)[:4]
+                return face.Probed(
+                    whole(cache), known("status", RESULTS, whole(result)), seconds(took), gauge(load)
+                )
+            case "datagram":
+                front, text = values(head, rest, 2)[:2]
+                return face.Told(whole(front), b"" if text == "-" else base64.b64decode(text))
+        raise Malformed(f"unknown event {head!r}")
+
+
+def gauge(text: str) -> dict[str, float] | None:
+    if text == "-":
+        return None
+    pairs = [pair.partition(":") for pair in text.split(",")]
+    return {name: number(value) for name, _, value in pairs}
+
+
+def site_facts(conf: dict[str, Any]) -> face.SiteFacts:
+    kind = conf["family_info"]
+    caps, rules, zones = conf["caps"], conf["obligations"], conf["zones"]
+    zone = zones.index(conf["az"])
+    lanes = conf["lanes"]
+    types = {
+        lane["name"]: face.ContentType(
+            name=lane["name"],
+            effect=EFFECTS[lane["idempotency"]],
+            scope=SCOPES[lane["key_scope"]],
+            window=lane["window_us"] / 1e6,
+            target=lane["goal_time_us"] / 1e6,
+            stretch=lane.get("aim_stretch", 0.0),
+            expiry=lane["deadline_us"] / 1e6,
+            benefit=lane["points"],
+            fresh=kind["lifetime_by_class_us"][place] / 1e6,
+            grace=kind["older_by_us"][place] / 1e6,
+            at_origin=kind["pass_on"][place],
+        )
+        for place, lane in enumerate(lanes)
+    }
+    return face.SiteFacts(
+        zone=conf["az"],
+        hub=zones[kind["hub_by_zone"][zone]],
+        fronts=conf["siblings"],
+        zone_fronts=kind["count_by_zone"][zone],
+        types=types,
+        tick=conf["tick_us"] / 1e6,
+        answer_slack=rules["answer_slack_us"] / 1e6,
+        drain_grace=rules["drain_grace_us"] / 1e6,
+        ask_within=rules["ask_within_us"] / 1e6,
+        subscribes=conf["registry_mode"] == "subscribe",
+        weighted=conf["weights"] != "none",
+        second_copies=caps["second_copies"],
+        calls_off=caps["cancelling"],
+        most_pulls=caps["send_cap"],
+        longest_wait=caps["max_retry_after_us"] / 1e6 if caps["retry_after"] else 0.0,
+        direct=kind["bypass_allowed"],
+        joins=kind["shares_fills"],
+        peers=kind["peers_fill"] != "none",
+        cold_floor=rules["cold_from"],
+        cold_time=rules["cold_us"] / 1e6,
+        cold_multiple=rules["fall_multiple"],
+        cold_window=rules["overload_for_us"] / 1e6,
+        parent_floor=kind["parent_starts_at"],
+        parent_time=kind["parent_warms_in_us"] / 1e6,
+        parent_multiple=kind["parent_breaks_at"],
+        purge_slack=kind["purge_slack_us"] / 1e6,
+        purge_done=kind["gone_everywhere_us"] / 1e6,
+    )
+
+
+def action_text(action: face.Action) -> str:
+    match action:
+        case face.SendPull(name, cache, None, _, _, patience):
+            return f"place {name} {cache} {micros(patience)}"
+        case face.SendPull():
+            mode = action.join + 2 * action.only_held + 4 * action.leave_no_copy + 8 * action.renew
+            age, patience = micros(action.age), micros(action.patience)
+            return f"obtain {action.id} {action.source} {action.rank} {age} {patience} {action.cache} {mode}"
+        case face.CallOff(name, pull):
+            return f"stop_attempt {name} {pull}"
+        case face.Throttle(name, wait):
+            return f"say_no {name} {micros(wait)}"
+        case face.Abandon(name):
+            return f"end_failed {name}"
+        case face.Wake(delay, token):
+            return f"wake_at {micros(delay)} {token}"
+        case face.Probe(cache):
+            return f"ask_load {cache}"
+        case face.Tell(front, text):
+            return f"memo_to {-1 if front is None else front} {base64.b64encode(text).decode()}"
+        case face.Watch():
+            return "tail 1"
+        case face.Remark(text):
+            return f"record {text}"
+    raise TypeError(f"no action: {action!r}")
