Limit what is in flight at an edge cache by AIMD

Should also guard against any cause that makes a cache slow; harms a cache whose answers are late for its source.

--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -24,12 +24,16 @@
 RANK = 2  # rank of a copy that passed the prefilter
 MEMORY = 10.0  # seconds of the ring buckets
 BAR = 0.8  # a doubtful cache must draw this share of its peers' success
-SHARE = 0.5  # what a failure leaves of a limit
+SHARE = 0.8  # what a late or failed answer leaves of a limit
 LEAST, MOST = 2.0, 64.0  # bounds of a cache's limit on what is in flight
+SPREAD = 2.0  # first limit, over this front's share of the cache's link
+START = 12.0  # first limit where links are not told
+REST = 0.5  # seconds between two cuts of a limit
+HEADROOM = 1.3  # how far the content type with most benefit for its work may pass a limit
 PATIENCE = 3.5  # expected times that a pull may take before it is doubted
 GAPS = 8.0  # usual gaps between answers after which a cache counts as silent
 SWEEP = 0.2  # seconds between looks for silent caches
-FURTHER = 0.25  # further pulls for each download, in MEMORY
+FURTHER = 0.15  # further pulls for each download, in MEMORY
 CARE = 0.6  # part of a cold cache's budget that is used
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
 AT_SOURCE = {Hint.SOURCE_REFUSED, Hint.SOURCE_BROKE, Hint.SOURCE_LACKS, Hint.ORIGIN_FAILED}
@@ -111,6 +115,10 @@
     amount: float
 
 
+class Late(NamedTuple):
+    pass
+
+
 class Doubt(NamedTuple):
     pull: "Pull"
 
@@ -156,7 +164,9 @@
     def reset(self) -> None:
         self.good, self.bad, self.answers = Buckets(), Buckets(), Buckets()
         self.out: dict[Pull, None] = {}
-        self.heard, self.failing, self.limit = -math.inf, False, MOST
+        self.heard, self.failing, self.cut = -math.inf, False, -math.inf
+        facts = self.router.facts
+        self.limit = max(LEAST, SPREAD * self.weight / facts.zone_fronts) if facts.weighted else START
 
     def take(self, note: Any) -> None:
         now = self.router.now
@@ -176,15 +186,30 @@
             case Good(amount):
                 self.good.add(now, amount)
                 self.failing = False
-                self.limit = min(MOST, self.limit + 1)
+                if 2 * len(self.out) >= self.limit:
+                    self.limit = min(MOST, self.limit + 1 / self.limit)
             case Bad(amount):
                 self.bad.add(now, amount)
                 if amount > 0.5:
                     self.failing = True
-                    self.limit = max(LEAST, self.limit * SHARE)
+                    self.shrink(now)
+            case Late():
+                self.shrink(now)
             case Sweep():
                 self.listen(now)
 
+    def shrink(self, now: float) -> None:
+        if now >= self.cut + REST:
+            self.cut, self.limit = now, max(LEAST, self.limit * SHARE)
+
+    def room(self, dense: bool) -> bool:
+        """Guards against a jam: what is in flight from here stays under a limit found by AIMD.
+
+        Past it answers would come late for all. Harm: a cache whose answers are late for another
+        cause (a slow source that no hint tells of) gets less than it could bear.
+        """
+        return len(self.out) < self.limit * (HEADROOM if dense else 1.0)
+
     def listen(self, now: float) -> None:
         """Guards against a cache that takes pulls and answers none (dead machine, cut wire, standstill).
 
@@ -353,6 +378,8 @@
         for cache in (plan.cache, plan.source):
             if cache is not None and (cache.phase is not Phase.READY or not self.bears(cache, dl)):
                 return Stuck(cache)
+        if plan.cache.role is Role.EDGE and not plan.cache.room(self.router.densest(dl.type)):
+            return Stuck(plan.cache)
         return None
 
     def harmless(self, plan: Plan) -> bool:
@@ -536,7 +563,11 @@
         router = self.router
         if pull.result is Result.FULFILLED:
             router.learn(self, pull.took)
-            router.post(pull.cache, Good(1.0))
+            late = pull.took > self.type.target + self.type.stretch * (
+                self.asked.work or router.mean_work(self.type)
+            )
+            edge_slow = late and pull.hint in (Hint.HIT, Hint.NONE, Hint.OLD)
+            router.post(pull.cache, Late() if edge_slow else Good(1.0))
             if pull.source is not None:
                 router.post(pull.source, Good(FILLED.get(pull.hint, 0.0)))
         elif pull.result not in (Result.CALLED_OFF, Result.MOOT, Result.MISS) and not pull.doubted:
@@ -663,6 +694,11 @@
         total, count = self.mean[kind.name]
         return (total + 4 * kind.target) / (count + 4)
 
+    def densest(self, kind: face.ContentType) -> bool:
+        """Whether no content type earns more benefit for its work."""
+        density = {k.name: k.benefit / self.mean_work(k) for k in self.facts.types.values()}
+        return density[kind.name] >= max(density.values())
+
     def expected(self, dl: Download) -> float:
         """How long such a download takes these days."""
         times, scale = (b.total(self.now) for b in self.pace[dl.type.name])
