--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -240,7 +240,11 @@
             return not (self.failing and self.out)
         if self.failing and len(self.out) >= self.limit:
             return False
-        return self.router.chance.betavariate(1 + self.good.total(self.router.now), 1 + bad) > BAR * peers
+        return self.draw() > BAR * peers
+
+    def draw(self) -> float:
+        now = self.router.now
+        return self.router.chance.betavariate(1 + self.good.total(now), 1 + self.bad.total(now))
 
 
 class Prefilter(Actor):
@@ -312,18 +316,18 @@
         parents = [] if target.role is Role.PARENT else self.listed(Role.PARENT)
         near = [c for c in parents if c.zone == self.router.facts.hub] or parents
         origins = self.listed(Role.ORIGIN)
-        picked = self.pick(dl, near, sure=True) or self.pick(dl, parents, sure=True) or self.pick(dl, origins)
-        return picked or self.pick(dl, parents) or target
+        picked = self.pick(dl, near, sure=True) or self.pick(dl, parents)
+        return picked or self.pick(dl, origins) or target
 
     def pick(self, dl: "Download", caches: list[Cache], sure: bool = False) -> Cache | None:
-        """The first by hash that is trusted; unless `sure`, else the first that is not ruled out."""
+        """The first by hash that is trusted; unless `sure`, else the best draw of those not ruled out."""
         ranked = [c for c in self.ranked(dl, caches) if c not in dl.ruled_out]
         fresh = [c for c in ranked if c not in dl.failed]
         peers = 1 - sum(c.share_bad() for c in caches) / max(len(caches), 1)
         for cache in fresh:
             if cache.trusted(peers):
                 return cache
-        return None if sure else next(iter(fresh or ranked), None)
+        return None if sure else max(fresh or ranked, key=Cache.draw, default=None)
 
     def ranked(self, dl: "Download", caches: list[Cache]) -> list[Cache]:
         """Weighted rendezvous, the same at every front."""
