Count late answers as failures of edge or source, and compare sources with the origin

Cause: a silent or lost parent was told from its edges too late, and the origin was never weighed against parents. Overloads still jam.

--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -30,7 +30,7 @@
 START = 12.0  # first limit where links are not told
 REST = 0.5  # seconds between two cuts of a limit
 HEADROOM = 1.3  # how far the content type with most benefit for its work may pass a limit
-PATIENCE = 3.5  # expected times that a pull may take before it is doubted
+PATIENCE = 2.5  # expected times that a pull may take before it is doubted
 GAPS = 8.0  # usual gaps between answers after which a cache counts as silent
 SWEEP = 0.2  # seconds between looks for silent caches
 FURTHER = 0.15  # further pulls for each download, in MEMORY
@@ -120,7 +120,10 @@
 
 
 class Doubt(NamedTuple):
+    """The pull takes too long; `firm` where waiting on would be of no use."""
+
     pull: "Pull"
+    firm: bool
 
 
 class Close(NamedTuple):
@@ -223,7 +226,7 @@
         if waiting > min(max(GAPS * usual, 0.4), 2.0):
             for pull in self.out:
                 if not pull.doubted:
-                    self.router.post(pull.dl, Doubt(pull))
+                    self.router.post(pull.dl, Doubt(pull, True))
 
     def share_bad(self) -> float:
         good, bad = self.good.total(self.router.now), self.bad.total(self.router.now)
@@ -305,25 +308,29 @@
     def target(self, dl: "Download") -> Cache | None:
         edges = [c for c in self.listed(Role.EDGE) if c.zone == self.router.facts.zone]
         if dl.type.at_origin and self.router.facts.direct:
-            return self.pick(dl, self.listed(Role.ORIGIN))
-        edge = self.pick(dl, edges)
+            return self.pick(dl, self.listed(Role.ORIGIN), 0.0)
+        peers = 1 - sum(c.share_bad() for c in edges) / max(len(edges), 1)
+        edge = self.pick(dl, edges, peers)
         if edge is None and self.router.facts.direct:
-            return self.pick(dl, self.listed(Role.PARENT)) or self.pick(dl, self.listed(Role.ORIGIN))
+            return self.pick(dl, self.listed(Role.PARENT), 0.0) or self.pick(
+                dl, self.listed(Role.ORIGIN), 0.0
+            )
         return edge
 
     def source(self, dl: "Download", target: Cache) -> Cache:
-        """The hub's parent by hash, then any by hash, then the origin; the target itself fills nothing."""
+        """The hub's parent by hash, then any by hash; the origin where no parent does as well."""
+        origins = [c for c in self.listed(Role.ORIGIN) if c not in dl.ruled_out]
         parents = [] if target.role is Role.PARENT else self.listed(Role.PARENT)
         near = [c for c in parents if c.zone == self.router.facts.hub] or parents
-        origins = self.listed(Role.ORIGIN)
-        picked = self.pick(dl, near, sure=True) or self.pick(dl, parents)
-        return picked or self.pick(dl, origins) or target
+        peers = 1 - min((c.share_bad() for c in parents + origins), default=0.0)
+        picked = self.pick(dl, near, peers, sure=True) or self.pick(dl, parents, peers, sure=True)
+        left = [c for c in parents if c not in dl.ruled_out and c not in dl.failed]
+        return picked or max(left + origins, key=Cache.draw, default=target)
 
-    def pick(self, dl: "Download", caches: list[Cache], sure: bool = False) -> Cache | None:
+    def pick(self, dl: "Download", caches: list[Cache], peers: float, sure: bool = False) -> Cache | None:
         """The first by hash that is trusted; unless `sure`, else the best draw of those not ruled out."""
         ranked = [c for c in self.ranked(dl, caches) if c not in dl.ruled_out]
         fresh = [c for c in ranked if c not in dl.failed]
-        peers = 1 - sum(c.share_bad() for c in caches) / max(len(caches), 1)
         for cache in fresh:
             if cache.trusted(peers):
                 return cache
@@ -366,7 +373,7 @@
                     self.router.post(note.dl, stuck)
             case face.Ended():
                 self.end(note)
-            case Doubt(pull) if pull.result is None and self.router.facts.calls_off:
+            case Doubt(pull, _) if pull.result is None and self.router.facts.calls_off:
                 self.router.act(face.CallOff(pull.dl.asked.id, pull.number))
             case face.Purged():
                 self.purged(note)
@@ -538,7 +545,7 @@
                 self.level, self.v_k = level, v_k
                 router.post(router.placement, Choose(self))
             case Went(pull):
-                router.act(face.Wake(PATIENCE * router.expected(self), f"slow:{self.asked.id}:{pull.number}"))
+                self.wait(pull)
             case Stuck(None):
                 if not self.out():
                     router.post(router.gate, Close(self))
@@ -547,21 +554,29 @@
                 router.post(router.placement, Choose(self))
             case face.Began():
                 self.closed = True
-            case Doubt(pull) if pull.result is None and not pull.doubted:
-                self.doubt(pull)
+            case Doubt(pull, firm) if pull.result is None:
+                self.doubt(pull, firm)
             case face.Woke():
                 router.post(router.gate, Close(self))
 
-    def doubt(self, pull: Pull) -> None:
+    def doubt(self, pull: Pull, firm: bool) -> None:
         """Past its patience: another pull beside it, or in its place where two may not be out."""
-        pull.doubted = True
-        self.blame(pull)
+        again, pull.doubted = pull.doubted, True
+        if not again:
+            self.blame(pull)
         if self.type.effect is Effect.NON_RETRIABLE:
             return
         if self.router.facts.second_copies:
-            self.router.post(self.router.placement, Choose(self))
+            if not again:
+                self.router.post(self.router.placement, Choose(self))
+        elif firm or again:
+            self.router.post(self.router.gate, Doubt(pull, True))
         else:
-            self.router.post(self.router.gate, Doubt(pull))
+            self.wait(pull)
+
+    def wait(self, pull: Pull) -> None:
+        delay = PATIENCE * self.router.expected(self)
+        self.router.act(face.Wake(delay, f"slow:{self.asked.id}:{pull.number}"))
 
     def done(self, pull: Pull, closed: bool) -> None:
         router = self.router
@@ -571,8 +586,10 @@
                 self.asked.work or router.mean_work(self.type)
             )
             edge_slow = late and pull.hint in (Hint.HIT, Hint.NONE, Hint.OLD)
+            if late and not pull.doubted:
+                self.blame(pull)
             router.post(pull.cache, Late() if edge_slow else Good(1.0))
-            if pull.source is not None:
+            if pull.source is not None and not late:
                 router.post(pull.source, Good(FILLED.get(pull.hint, 0.0)))
         elif pull.result not in (Result.CALLED_OFF, Result.MOOT, Result.MISS) and not pull.doubted:
             self.blame(pull)
@@ -592,8 +609,10 @@
             part = 1.0
         elif pull.hint in AT_SOURCE:
             part = 0.0
-        elif pull.hint is Hint.NO_PLACE:
+        elif pull.hint in (Hint.NO_PLACE, Hint.HIT, Hint.OLD):
             part = 1.0
+        elif pull.hint in (Hint.FILLED, Hint.FROM_ORIGIN):
+            part = 0.0
         else:
             part = cache.share_bad() / (cache.share_bad() + source.share_bad())
         self.router.post(cache, Bad(part))
@@ -669,7 +688,7 @@
                 why, name, *pull = token.split(":")
                 dl = self.downloads.get(name)
                 if dl is not None:
-                    yield dl, (Doubt(dl.pulls[int(pull[0])]) if why == "slow" else event)
+                    yield dl, (Doubt(dl.pulls[int(pull[0])], False) if why == "slow" else event)
 
     def listed(self, event: face.Listed) -> Iterator[tuple[Actor, Any]]:
         if event.scale is Scale.FAILED:
