--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -28,6 +28,7 @@
 LEAST, MOST = 2.0, 64.0  # bounds of a cache's limit on what is in flight
 SPREAD = 2.0  # first limit, over this front's share of the cache's link
 START = 12.0  # first limit where links are not told
+SPILL = 0.5  # part of a limit open to what the hash meant for another cache
 REST = 0.5  # seconds between two cuts of a limit
 HEADROOM = 1.3  # how far the content type with most benefit for its work may pass a limit
 PATIENCE = 2.5  # expected times that a pull may take before it is doubted
@@ -36,8 +37,6 @@
 FURTHER = 0.15  # further pulls for each download, in MEMORY
 CARE = 0.6  # part of a cold cache's budget that is used
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
-AT_SOURCE = {Hint.SOURCE_REFUSED, Hint.SOURCE_BROKE, Hint.SOURCE_LACKS, Hint.ORIGIN_FAILED}
-FILLED = {Hint.FILLED: 1.0, Hint.FROM_ORIGIN: 1.0, Hint.NONE: 0.25}  # how far an answer speaks for its source
 
 
 class Chance(random.Random):
@@ -87,9 +86,10 @@
 class Plan(NamedTuple):
     dl: "Download"
     cache: "Cache"
-    source: "Cache | None"
+    source: "Cache | None" = None  # none: a look, which fills nothing
     rank: int = 0
     leave: bool = False
+    old: bool = False
 
 
 class Stuck(NamedTuple):
@@ -205,13 +205,13 @@
         if now >= self.cut + REST:
             self.cut, self.limit = now, max(LEAST, self.limit * SHARE)
 
-    def room(self, dense: bool) -> bool:
+    def room(self, dense: bool, home: bool) -> bool:
         """Guards against a jam: what is in flight from here stays under a limit found by AIMD.
 
-        Past it answers would come late for all. Harm: a cache whose answers are late for another
-        cause (a slow source that no hint tells of) gets less than it could bear.
+        Past it answers would come late for all. An edge counts its looks, a source its fills, so that
+        stuck fills never shut out hits. Harm: a cache that is late for another cause gets too little.
         """
-        return len(self.out) < self.limit * (HEADROOM if dense else 1.0)
+        return len(self.out) < self.limit * (HEADROOM if dense else 1.0) * (1.0 if home else SPILL)
 
     def listen(self, now: float) -> None:
         """Guards against a cache that takes pulls and answers none (dead machine, cut wire, standstill).
@@ -277,16 +277,29 @@
         self.keeps = {role: Buckets() for role in V_HOP}
 
     def take(self, note: Choose) -> None:
-        dl = note.dl
-        target = self.target(dl)
-        if target is None:
-            self.router.post(dl, Stuck(None))
-            return
-        source = None if target.role is Role.ORIGIN else self.source(dl, target)
-        plan = Plan(dl, target, source)
-        if source is not None and not dl.type.at_origin:
-            plan = self.keep(plan)
-        self.router.post(self.router.gate, plan)
+        """A look at the edge first, then a fill there: what missed is then known at every site."""
+        dl, facts = note.dl, self.router.facts
+        edges = [c for c in self.listed(Role.EDGE) if c.zone == facts.zone]
+        parents, origins = self.listed(Role.PARENT), self.listed(Role.ORIGIN)
+        edge = dl.missed if dl.missed in edges else None
+        if dl.type.at_origin and facts.direct:
+            target = self.pick(dl, origins, 0.0)
+            plan = Plan(dl, target) if target else None
+        elif edge is None and (edge := self.pick(dl, edges, self.mean_good(edges))) and not dl.type.at_origin:
+            plan = Plan(dl, edge, rank=RANK if dl.level >= DEPTH else 0)
+        elif edge is not None and (source := self.source(dl, parents, origins)):
+            plan = Plan(dl, edge, source) if dl.type.at_origin else self.keep(Plan(dl, edge, source))
+        elif edge is not None and dl.type.grace and not dl.old:
+            dl.old = True
+            plan = Plan(dl, edge, rank=RANK if dl.level >= DEPTH else 0, old=True)
+        elif edge is None and facts.direct and origins and (target := self.pick(dl, parents, 0.0)):
+            plan = Plan(dl, target, origins[0])
+        else:
+            plan = None
+        self.router.post(self.router.gate if plan else dl, plan or Stuck(None))
+
+    def mean_good(self, caches: list[Cache]) -> float:
+        return 1 - sum(c.share_bad() for c in caches) / max(len(caches), 1)
 
     def keep(self, plan: Plan) -> Plan:
         """The two tests: best value and lowest cache rate keep the copy, the others leave none."""
@@ -305,27 +318,13 @@
             rank=RANK if Role.EDGE in chosen else 0, leave=Role.PARENT in tiers and Role.PARENT not in chosen
         )
 
-    def target(self, dl: "Download") -> Cache | None:
-        edges = [c for c in self.listed(Role.EDGE) if c.zone == self.router.facts.zone]
-        if dl.type.at_origin and self.router.facts.direct:
-            return self.pick(dl, self.listed(Role.ORIGIN), 0.0)
-        peers = 1 - sum(c.share_bad() for c in edges) / max(len(edges), 1)
-        edge = self.pick(dl, edges, peers)
-        if edge is None and self.router.facts.direct:
-            return self.pick(dl, self.listed(Role.PARENT), 0.0) or self.pick(
-                dl, self.listed(Role.ORIGIN), 0.0
-            )
-        return edge
-
-    def source(self, dl: "Download", target: Cache) -> Cache:
+    def source(self, dl: "Download", parents: list[Cache], origins: list[Cache]) -> Cache | None:
         """The hub's parent by hash, then any by hash; the origin where no parent does as well."""
-        origins = [c for c in self.listed(Role.ORIGIN) if c not in dl.ruled_out]
-        parents = [] if target.role is Role.PARENT else self.listed(Role.PARENT)
         near = [c for c in parents if c.zone == self.router.facts.hub] or parents
         peers = 1 - min((c.share_bad() for c in parents + origins), default=0.0)
         picked = self.pick(dl, near, peers, sure=True) or self.pick(dl, parents, peers, sure=True)
-        left = [c for c in parents if c not in dl.ruled_out and c not in dl.failed]
-        return picked or max(left + origins, key=Cache.draw, default=target)
+        left = [c for c in parents + origins if c not in dl.ruled_out and c not in dl.failed]
+        return picked or max(left, key=Cache.draw, default=None)
 
     def pick(self, dl: "Download", caches: list[Cache], peers: float, sure: bool = False) -> Cache | None:
         """The first by hash that is trusted; unless `sure`, else the best draw of those not ruled out."""
@@ -384,13 +383,18 @@
         dl, now, facts = plan.dl, self.router.now, self.router.facts
         if dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls or not self.harmless(plan):
             return Stuck(None)
-        if dl.pulls and self.further.total(now) >= FURTHER * self.downloads.total(now) + 2:
+        if (
+            any(p.result is not Result.MISS for p in dl.pulls)
+            and self.further.total(now) >= FURTHER * self.downloads.total(now) + 2
+        ):
             return Stuck(None)
         for cache in (plan.cache, plan.source):
             if cache is not None and (cache.phase is not Phase.READY or not self.bears(cache, dl)):
                 return Stuck(cache)
-        if plan.cache.role is Role.EDGE and not plan.cache.room(self.router.densest(dl.type)):
-            return Stuck(plan.cache)
+        loaded = plan.source or plan.cache
+        home = all(c.role is not loaded.role for c in dl.ruled_out)
+        if not dl.type.at_origin and not loaded.room(self.router.densest(dl.type), home):
+            return Stuck(loaded)
         return None
 
     def harmless(self, plan: Plan) -> bool:
@@ -448,36 +452,40 @@
     def send(self, plan: Plan) -> None:
         dl, now = plan.dl, self.router.now
         pull = Pull(plan, len(dl.pulls), now, self.router.mean_work(dl.type))
-        if dl.pulls:
+        if any(p.result is not Result.MISS for p in dl.pulls):
             self.further.add(now)
         dl.pulls.append(pull)
-        for cache in {plan.cache, plan.source} - {None}:
-            self.tally(cache).add(now, pull.work)
-        source = plan.source
+        for cache in (plan.cache, plan.source):
+            if cache is not None:
+                self.tally(cache).add(now, pull.work)
+        source = plan.source or (plan.cache if plan.cache.role is not Role.ORIGIN else None)
+        fills = [p for p in dl.pulls if p.source is not None]
         self.router.act(
             face.SendPull(
                 id=dl.asked.id,
                 cache=plan.cache.id,
                 source=source.id if source else None,
                 rank=plan.rank,
-                age=self.age(dl),
+                age=self.age(plan),
                 patience=0.0,
-                join=self.router.facts.joins,
+                join=self.router.facts.joins and len(fills) < 2,
                 only_held=False,
                 leave_no_copy=plan.leave,
                 renew=False,
             )
         )
-        self.router.post(plan.cache, Went(pull))
+        self.router.post(plan.source or plan.cache, Went(pull))
         self.router.post(dl, Went(pull))
 
-    def age(self, dl: "Download") -> float:
+    def age(self, plan: Plan) -> float:
         """Oldest copy that will do: never one older than a purge that this front knows of."""
+        dl = plan.dl
+        most = dl.type.fresh + dl.type.grace if plan.old else dl.type.fresh
         past = [self.purges[name] for name in (dl.asked.key, dl.asked.group) if name in self.purges]
         if not past:
-            return 0.0
+            return most if plan.old else 0.0
         since = max(self.router.now - max(past) - 0.001, 2e-6)
-        return min(since, dl.type.fresh) if dl.type.fresh else since
+        return min(since, most) if dl.type.fresh else since
 
     def purged(self, note: face.Purged) -> None:
         facts, now = self.router.facts, self.router.now
@@ -493,7 +501,7 @@
             return
         pull = dl.pulls[note.pull]
         pull.result, pull.hint, pull.took = note.result, note.hint, note.took
-        self.router.post(pull.cache, Done(pull, note.closed))
+        self.router.post(pull.source or pull.cache, Done(pull, note.closed))
         self.router.post(dl, Done(pull, note.closed))
 
     def answer(self, dl: "Download") -> None:
@@ -520,7 +528,8 @@
         self.pulls: list[Pull] = []
         self.failed: set[Cache] = set()
         self.ruled_out: set[Cache] = set()
-        self.closed, self.level, self.v_k = False, 0, 0.0
+        self.missed: Cache | None = None  # the edge that was looked at and lacks the object
+        self.closed, self.level, self.v_k, self.old = False, 0, 0.0, False
 
     def out(self) -> list[Pull]:
         return [p for p in self.pulls if p.result is None]
@@ -575,50 +584,35 @@
             self.wait(pull)
 
     def wait(self, pull: Pull) -> None:
-        delay = PATIENCE * self.router.expected(self)
+        delay = PATIENCE * self.router.expected(self, pull.source is not None)
         self.router.act(face.Wake(delay, f"slow:{self.asked.id}:{pull.number}"))
 
     def done(self, pull: Pull, closed: bool) -> None:
         router = self.router
         if pull.result is Result.FULFILLED:
-            router.learn(self, pull.took)
-            late = pull.took > self.type.target + self.type.stretch * (
-                self.asked.work or router.mean_work(self.type)
-            )
-            edge_slow = late and pull.hint in (Hint.HIT, Hint.NONE, Hint.OLD)
-            if late and not pull.doubted:
-                self.blame(pull)
-            router.post(pull.cache, Late() if edge_slow else Good(1.0))
-            if pull.source is not None and not late:
-                router.post(pull.source, Good(FILLED.get(pull.hint, 0.0)))
-        elif pull.result not in (Result.CALLED_OFF, Result.MOOT, Result.MISS) and not pull.doubted:
+            router.learn(self, pull)
+            work = self.asked.work or router.mean_work(self.type)
+            late = pull.took > self.type.target + self.type.stretch * work
+            router.post(pull.source or pull.cache, Late() if late else Good(1.0))
+        elif pull.result is Result.MISS:
+            self.missed = pull.cache
+        elif pull.result not in (Result.CALLED_OFF, Result.MOOT) and not pull.doubted:
             self.blame(pull)
         if closed:
             self.close()
         if not self.closed and not self.out():
-            if pull.result is Result.MISS:
-                self.failed.add(pull.cache)
             router.post(router.placement, Choose(self))
         if self.closed and not self.out():
             router.downloads.pop(self.asked.id, None)
 
     def blame(self, pull: Pull) -> None:
-        """Share a failure between edge and source by what each has failed with others."""
-        cache, source = pull.cache, pull.source
-        if source is None or source is cache or pull.result in (Result.UNREACHED, Result.RESET):
-            part = 1.0
-        elif pull.hint in AT_SOURCE:
-            part = 0.0
-        elif pull.hint in (Hint.NO_PLACE, Hint.HIT, Hint.OLD):
-            part = 1.0
-        elif pull.hint in (Hint.FILLED, Hint.FROM_ORIGIN):
-            part = 0.0
-        else:
-            part = cache.share_bad() / (cache.share_bad() + source.share_bad())
-        self.router.post(cache, Bad(part))
-        if source is not None and part < 1:
-            self.router.post(source, Bad(1 - part))
-        self.failed.add(cache if part >= 0.5 or source is None else source)
+        """A look speaks for its edge, a fill for its source: the edge had answered the look before."""
+        at_edge = pull.result in (Result.UNREACHED, Result.RESET) or pull.hint is Hint.NO_PLACE
+        guilty = pull.cache if at_edge or pull.source is None else pull.source
+        self.router.post(guilty, Bad(1.0))
+        self.failed.add(guilty)
+        if guilty is self.missed:
+            self.missed = None
 
     def close(self) -> None:
         if not self.closed:
@@ -639,7 +633,7 @@
         self.caches: dict[int, Cache] = {}
         self.downloads: dict[str, Download] = {}
         self.prefilter, self.placement, self.gate = Prefilter(self), Placement(self), Gate(self)
-        self.pace = {name: (Buckets(), Buckets()) for name in facts.types}
+        self.pace = {(name, fill): (Buckets(), Buckets()) for name in facts.types for fill in (False, True)}
         self.mean = dict.fromkeys(facts.types, (0.0, 0))
         self.busy: deque[Actor] = deque()
         self.actions: list[face.Action] = []
@@ -705,12 +699,12 @@
                 if cache.id not in named:
                     cache.phase = Phase.GONE
 
-    def learn(self, dl: Download, took: float) -> None:
-        times, scale = self.pace[dl.type.name]
-        times.add(self.now, took)
+    def learn(self, dl: Download, pull: Pull) -> None:
+        times, scale = self.pace[dl.type.name, pull.source is not None]
+        times.add(self.now, pull.took)
         scale.add(self.now, dl.asked.work or 1.0)
         total, count = self.mean[dl.type.name]
-        self.mean[dl.type.name] = total + (dl.asked.work or took), count + 1
+        self.mean[dl.type.name] = total + (dl.asked.work or pull.took), count + 1
 
     def mean_work(self, kind: face.ContentType) -> float:
         """Mean sending time of a content type, as seen so far and at first as its target time."""
@@ -722,8 +716,8 @@
         density = {k.name: k.benefit / self.mean_work(k) for k in self.facts.types.values()}
         return density[kind.name] >= max(density.values())
 
-    def expected(self, dl: Download) -> float:
+    def expected(self, dl: Download, fill: bool) -> float:
         """How long such a download takes these days."""
-        times, scale = (b.total(self.now) for b in self.pace[dl.type.name])
+        times, scale = (b.total(self.now) for b in self.pace[dl.type.name, fill])
         work = max(dl.asked.work, 0.1) if dl.asked.work else 1.0
         return max(work * (times + dl.type.target) / (scale + (work if dl.asked.work else 1.0)), 0.1)
