--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -281,7 +281,7 @@
         dl, facts = note.dl, self.router.facts
         edges = [c for c in self.listed(Role.EDGE) if c.zone == facts.zone]
         parents, origins = self.listed(Role.PARENT), self.listed(Role.ORIGIN)
-        edge = dl.missed if dl.missed in edges else None
+        edge = dl.missed if dl.missed in edges and dl.missed not in dl.ruled_out else None
         if dl.type.at_origin and facts.direct:
             target = self.pick(dl, origins, 0.0)
             plan = Plan(dl, target) if target else None
@@ -555,12 +555,11 @@
                 router.post(router.placement, Choose(self))
             case Went(pull):
                 self.wait(pull)
-            case Stuck(None):
-                if not self.out():
-                    router.post(router.gate, Close(self))
-            case Stuck(culprit):
+            case Stuck(culprit) if culprit is not None and culprit not in self.ruled_out:
                 self.ruled_out.add(culprit)
                 router.post(router.placement, Choose(self))
+            case Stuck() if not self.out():
+                router.post(router.gate, Close(self))
             case face.Began():
                 self.closed = True
             case Doubt(pull, firm) if pull.result is None:
