--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -19,7 +19,7 @@
 ALPHA, BETA, GAMMA = 1, 1, 1  # the paper's weights of V_k, V_hop and V_hitk
 V_HOP = {Role.EDGE: 2, Role.PARENT: 1}
 KMAX = 5  # the paper's highest prefilter level
-DEPTH = 1  # prefilter level from which the edge may keep a copy
+DEPTH = 2  # prefilter level from which the edge may keep a copy
 TABLE = 8192  # objects that the prefilter remembers
 RANK = 2  # rank of a copy that passed the prefilter
 MEMORY = 10.0  # seconds of the ring buckets
