--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,215 @@
+"""What the module decides, as short traces."""
+
+from fronts import CACHES, Front, content, entry
+
+from weldbend import interface as face
+from weldbend.interface import Effect, Phase, Result, Role, Scope
+
+
+def test_second_request_keeps_at_the_edge_and_leaves_no_copy():
+    front = Front()
+    for name in "abc":
+        front.fill(name, now=front.now + 1)
+    front.shows("""
+        1.00 a: 1 look rank 0
+        1.00 a: 1 fill from 11 rank 0
+        2.00 b: 1 look rank 2
+        2.00 b: 1 fill from 11 rank 2 leave-no-copy
+        3.00 c: 1 look rank 2
+        3.00 c: 1 fill from 11 rank 2 leave-no-copy
+    """)
+
+
+def test_failed_parent_passes_to_the_next_then_the_origin():
+    front = Front()
+    front.ask("a", now=1)
+    front.end("a", Result.MISS)
+    front.end("a", Result.ERROR, now=1.5)
+    front.end("a", Result.ERROR, now=2)
+    front.shows("""
+        1.00 a: 1 look rank 0
+        1.00 a: 1 fill from 11 rank 0
+        1.50 a: 1 fill from 12 rank 0
+        2.00 a: 1 fill from 21 rank 0
+    """)
+
+
+def test_no_download_is_lost():
+    front = Front()
+    front.ask("a", now=1, until=1.6)
+    front.wake("a", "end", now=1.596)
+    front.end("a", Result.CALLED_OFF, now=1.6)
+    front.wake("a", "end", now=1.61)
+    front.shows("""
+        1.00 a: 1 look rank 0
+        1.60 a: throttled, wait 0.5
+        1.60 a: call off 0
+    """)
+
+
+def test_no_effect_twice():
+    kinds = {
+        "pay": content("pay", effect=Effect.NON_RETRIABLE),
+        "order": content("order", effect=Effect.DEDUPED, window=1.0),
+        "near": content("near", effect=Effect.DEDUPED, scope=Scope.CELL),
+    }
+    front = Front((entry(1, cell=1), entry(2, cell=2)), types=kinds, cold_window=2.0)
+    for name in kinds:
+        front.ask(f"{name}-ran", now=1, type=name)
+        front.end(f"{name}-ran", Result.RESET)
+        front.ask(f"{name}-not", type=name)
+        front.end(f"{name}-not", Result.UNREACHED)
+    front.ask("late", now=20, type="order")
+    front.end("late", Result.RESET, now=21)
+    front.shows("""
+        1.00 pay-ran: 1 look rank 0
+        1.00 pay-ran: abandoned
+        1.00 pay-not: 1 look rank 2
+        1.00 pay-not: 2 look rank 2
+        1.00 order-ran: 1 look rank 2
+        1.00 order-ran: 2 look rank 2
+        1.00 order-not: 2 look rank 2
+        1.00 order-not: 1 look rank 2
+        1.00 near-ran: 1 look rank 2
+        1.00 near-ran: abandoned
+        1.00 near-not: 1 look rank 2
+        1.00 near-not: throttled, wait 0.5
+        20.00 late: 1 look rank 2
+        21.00 late: throttled, wait 0.5
+    """)
+
+
+def test_never_two_pulls_out_where_a_site_forbids_it():
+    front = Front(second_copies=False)
+    front.ask("a", now=1)
+    front.wake("a", now=3)
+    front.wake("a", now=5)
+    front.end("a", Result.CALLED_OFF, now=5.1)
+    front.shows("""
+        1.00 a: 1 look rank 0
+        5.00 a: call off 0
+        5.10 a: 2 look rank 0
+    """)
+
+
+def test_draining_and_gone_caches_get_nothing():
+    front = Front()
+    front.listed(entry(1, phase=Phase.DRAINING), entry(11, Role.PARENT, "h", Phase.GONE))
+    for key in "klmn":
+        front.ask(key, key, now=1)
+        front.end(key, Result.MISS)
+    front.shows("""
+        1.00 k: 2 look rank 0
+        1.00 k: 2 fill from 12 rank 0
+        1.00 l: 2 look rank 0
+        1.00 l: 2 fill from 12 rank 0
+        1.00 m: 2 look rank 0
+        1.00 m: 2 fill from 12 rank 0
+        1.00 n: 2 look rank 0
+        1.00 n: 2 fill from 12 rank 0
+    """)
+
+
+def test_cold_cache_gets_its_share_and_no_more():
+    front = Front((entry(1, started=0.0), CACHES[-1]))
+    for n in range(8):
+        front.ask(f"d{n}", f"k{n}", now=1 + n / 100)
+    front.shows("""
+        1.00 d0: 1 look rank 0
+        1.01 d1: 1 look rank 0
+        1.02 d2: 1 look rank 0
+        1.03 d3: 1 look rank 0
+        1.04 d4: throttled, wait 0.5
+        1.05 d5: throttled, wait 0.5
+        1.06 d6: throttled, wait 0.5
+        1.07 d7: throttled, wait 0.5
+    """)
+
+
+def test_purged_copies_do_not_answer():
+    front = Front()
+    front.at(1, face.Purged("k", 0, 0.2), face.Purged(None, 3, 0.5))
+    front.ask("a", "k", now=1.5)
+    front.ask("b", "l", now=2)
+    front.ask("c", "k", now=9)
+    front.shows("""
+        1.50 a: 1 look rank 0 age 0.699
+        2.00 b: 2 look rank 0 age 1.499
+        9.00 c: 1 look rank 2 age 8.199
+    """)
+
+
+def test_silent_cache_is_left_before_its_pulls_run_out():
+    front = Front((entry(1), CACHES[-1]), second_copies=True)
+    front.listed(entry(2), now=0.1)
+    for n in range(4):
+        front.ask(f"d{n}", f"k{n}", now=1)
+    front.at(3.2, face.Woke("sweep"))
+    front.shows("""
+        1.00 d0: 2 look rank 0
+        1.00 d1: 2 look rank 0
+        1.00 d2: 1 look rank 0
+        1.00 d3: 1 look rank 0
+        3.20 d2: 2 look rank 0
+        3.20 d3: 2 look rank 0
+        3.20 d0: 1 look rank 0
+    """)
+
+
+def test_full_edge_spills_then_throttles_at_once():
+    front = Front(CACHES[:2], weighted=False)
+    for n in range(40):
+        front.ask(f"d{n}", f"k{n}", now=1)
+    front.trace = front.trace[-3:]
+    front.shows("""
+        1.00 d37: throttled, wait 0.5
+        1.00 d38: throttled, wait 0.5
+        1.00 d39: throttled, wait 0.5
+    """)
+
+
+def test_when_no_source_does_an_old_copy_may():
+    front = Front(CACHES[:2], types={"photo": content(fresh=8.0, grace=30.0)})
+    front.ask("a", now=1)
+    front.end("a", Result.MISS)
+    front.end("a", Result.MISS)
+    front.shows("""
+        1.00 a: 1 look rank 0
+        1.00 a: 1 look rank 0 age 38.000
+        1.00 a: throttled, wait 0.5
+    """)
+
+
+def test_failing_edge_is_passed_by_and_tried_again():
+    front = Front(CACHES)
+    for n in range(30):
+        front.ask(f"d{n}", f"k{n}", now=1 + n / 10)
+        for _ in range(3):
+            if f"d{n}" in front.router.downloads:
+                bad = front.trace[-1].split()[2] == "1"
+                front.end(f"d{n}", Result.ERROR if bad else Result.FULFILLED)
+    pulls = [line.split()[2] for line in front.trace if "look" in line]
+    assert pulls.count("1") <= 6, pulls
+    front.trace = []
+    for n in range(10):
+        front.ask(f"e{n}", f"k{n}", now=30 + n)
+        front.end(f"e{n}", Result.FULFILLED)
+    assert any(line.split()[2] == "1" for line in front.trace)
+
+
+def test_fronts_agree_on_the_hash_whatever_their_seed():
+    one, other = Front(), Front()
+    other.router.chance.start = 99
+    for n in range(12):
+        for front in (one, other):
+            front.fill(f"d{n}", f"k{n}", now=1 + n)
+    assert one.trace == other.trace
+
+
+def test_list_that_must_be_asked_is_asked_again():
+    front = Front(subscribes=True)
+    front.at(2, face.Woke("watch"))
+    front.shows("""
+        0.00 watch
+        2.00 watch
+    """)
--- /dev/null
+++ b/tests/test_simhost.py
@@ -0,0 +1,106 @@
+"""One short conversation through the adapter, and malformed ones."""
+
+import io
+import json
+
+import pytest
+
+from weldbend.simhost.host import serve
+
+CONF = {
+    "az": "z",
+    "caps": {
+        "cancelling": True,
+        "max_retry_after_us": 0,
+        "retry_after": False,
+        "second_copies": True,
+        "send_cap": 6,
+    },
+    "family_info": {
+        "bypass_allowed": False,
+        "count_by_zone": [0, 1],
+        "gone_everywhere_us": 6000000,
+        "hub_by_zone": [0, 0],
+        "lifetime_by_class_us": [0],
+        "notes_given": "hit",
+        "older_by_us": [0],
+        "one_flow_kb_per_s": 1000.0,
+        "parent_breaks_at": 2.0,
+        "parent_starts_at": 0.1,
+        "parent_warms_in_us": 20000000,
+        "pass_on": [False],
+        "peers_fill": "none",
+        "purge_slack_us": 300000,
+        "root_kind": 2,
+        "shares_fills": True,
+        "shield_kind": 1,
+    },
+    "kinds": ["box", "parent", "origin"],
+    "lanes": [
+        {
+            "deadline_us": 6000000,
+            "goal_time_us": 500000,
+            "idempotency": "idempotent",
+            "key_scope": "all",
+            "name": "photo",
+            "points": 2.0,
+            "window_us": 5000000,
+        }
+    ],
+    "obligations": {
+        "answer_slack_us": 8000,
+        "ask_within_us": 10000000,
+        "cold_from": 0.2,
+        "cold_us": 10000000,
+        "drain_grace_us": 500000,
+        "fall_multiple": 2.0,
+        "overload_for_us": 2000000,
+    },
+    "registry_mode": "automatic",
+    "siblings": 1,
+    "tick_us": 2000,
+    "weights": "rough",
+    "zones": ["h", "z"],
+    "unknown": 1,
+}
+START = f"""sync 1000000
+for 3
+provision 7 {json.dumps(CONF)}
+view disk 4 2
+cache 5 z 1 - box ready 0
+cache 9 h 2 - origin ready 0
+over_to_you
+"""
+
+
+def talk(text):
+    out, err = io.StringIO(), io.StringIO()
+    return serve(io.StringIO(text), out, err), out.getvalue(), err.getvalue()
+
+
+def test_conversation():
+    asked = "sync 2000000\nfor 3\ncall t/a ab 0 photo 3 - 0 640 8000000\nover_to_you\n"
+    missed = "sync 2002000\nfor 3\nreport_back t/a 0 1 9 1000 0 - - -\nover_to_you\n"
+    code, out, err = talk(START + asked + missed)
+    assert (code, err) == (0, "")
+    assert out.splitlines() == [
+        "source 3", "wake_at 200000 sweep", "finished",
+        "source 3", "wake_at 5996000 end:t/a", "obtain t/a 1 0 0 0 1 1", "wake_at 1250000 slow:t/a:0", "finished",
+        "source 3", "obtain t/a 2 0 0 0 1 1", "wake_at 1250000 slow:t/a:1", "finished",
+    ]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("sync x\n", "line 1: not a whole number: 'x'"),
+        (START + "sync 2\nfor 3\nbogus 1\n", "line 10: unknown event 'bogus'"),
+        (START + "sync 2\nfor 4\ntimeout_fired sweep\n", "line 10: event for unknown instance 4"),
+        (START + "sync 2\nfor 3\ncall t/a ab\n", "line 10: call: 2 values, 9 wanted"),
+        (START.replace('"zones"', '"zonez"'), "line 3: provision: settings lack 'zones'"),
+        (START + "sync 2\nfor 3\n", "line 9: input ended inside a batch"),
+    ],
+)
+def test_malformed_input_is_named(text, told):
+    code, _, err = talk(text)
+    assert (code, err.strip()) == (1, told)
