--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -323,8 +323,11 @@
         near = [c for c in parents if c.zone == self.router.facts.hub] or parents
         peers = 1 - min((c.share_bad() for c in parents + origins), default=0.0)
         picked = self.pick(dl, near, peers, sure=True) or self.pick(dl, parents, peers, sure=True)
-        left = [c for c in parents + origins if c not in dl.ruled_out and c not in dl.failed]
-        return picked or max(left, key=Cache.draw, default=None)
+        if picked:
+            return picked
+        if any(c in dl.ruled_out for c in parents):
+            return self.pick(dl, origins, peers, sure=True)
+        return max((c for c in parents + origins if c not in dl.failed), key=Cache.draw, default=None)
 
     def pick(self, dl: "Download", caches: list[Cache], peers: float, sure: bool = False) -> Cache | None:
         """The first by hash that is trusted; unless `sure`, else the best draw of those not ruled out."""
