--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -25,7 +25,7 @@
 MEMORY = 10.0  # seconds of the ring buckets
 BAR = 0.8  # a doubtful cache must draw this share of its peers' success
 SHARE = 0.8  # what a late or failed answer leaves of a limit
-LEAST, MOST = 4.0, 64.0  # bounds of a cache's limit on what is in flight
+LEAST, MOST = 2.0, 64.0  # bounds of a cache's limit on what is in flight
 SPREAD = 2.0  # first limit, over this front's share of the cache's link
 START = 12.0  # first limit where links are not told
 SPILL = 0.5  # part of a limit open to what the hash meant for another cache
@@ -322,7 +322,7 @@
         """The hub's parent by hash, then any by hash; the origin where no parent does as well."""
         near = [c for c in parents if c.zone == self.router.facts.hub] or parents
         peers = 1 - min((c.share_bad() for c in parents + origins), default=0.0)
-        picked = self.pick(dl, near, peers, sure=True) or self.pick(dl, parents, peers, sure=True)
+        picked = self.pick(dl, near, 1.0, sure=True) or self.pick(dl, parents, peers, sure=True)
         if picked:
             return picked
         if any(c in dl.ruled_out for c in parents):
