--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -202,7 +202,7 @@
                 self.listen(now)
 
     def shrink(self, now: float) -> None:
-        if now >= self.cut + REST:
+        if now >= self.cut + REST and 2 * len(self.out) >= self.limit:
             self.cut, self.limit = now, max(LEAST, self.limit * SHARE)
 
     def room(self, dense: bool, home: bool) -> bool:
