Let the fill after another look's miss go out beside a doubted pull; shorten the module

A download whose second look missed waited for its doubted first pull. Also: past its window a deduped download is abandoned.

--- a/weldbend/interface.py
+++ b/weldbend/interface.py
@@ -89,7 +89,6 @@
     window: float
     target: float
     stretch: float
-    expiry: float
     benefit: float
     fresh: float
     grace: float
@@ -106,8 +105,6 @@
     zone_fronts: int
     types: dict[str, ContentType]
     tick: float
-    answer_slack: float
-    drain_grace: float
     ask_within: float
     subscribes: bool
     weighted: bool
@@ -117,7 +114,6 @@
     longest_wait: float
     direct: bool
     joins: bool
-    peers: bool
     cold_floor: float
     cold_time: float
     cold_multiple: float
--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -10,6 +10,7 @@
 import zlib
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Iterator
+from enum import Enum
 from hashlib import blake2b
 from typing import Any, NamedTuple
 
@@ -70,19 +71,11 @@
         return sum(self.sums)
 
 
-class Seen(NamedTuple):
-    dl: "Download"
-
-
 class Level(NamedTuple):
     level: int
     v_k: float
 
 
-class Choose(NamedTuple):
-    dl: "Download"
-
-
 class Plan(NamedTuple):
     dl: "Download"
     cache: "Cache"
@@ -107,18 +100,6 @@
     closed: bool
 
 
-class Good(NamedTuple):
-    amount: float
-
-
-class Bad(NamedTuple):
-    amount: float
-
-
-class Late(NamedTuple):
-    pass
-
-
 class Doubt(NamedTuple):
     """The pull takes too long; `firm` where waiting on would be of no use."""
 
@@ -130,8 +111,10 @@
     dl: "Download"
 
 
-class Sweep(NamedTuple):
-    pass
+class Mark(Enum):
+    """What a cache is told of its own answers, or that it is time to listen."""
+
+    GOOD, LATE, BAD, SWEEP = range(4)
 
 
 class Pull:
@@ -186,23 +169,22 @@
                 if pull.result not in (Result.TIMED_OUT, Result.CALLED_OFF, Result.UNREACHED, Result.MOOT):
                     self.heard = now
                     self.answers.add(now)
-            case Good(amount):
-                self.good.add(now, amount)
+            case Mark.GOOD:
+                self.good.add(now)
                 self.failing = False
                 if 2 * len(self.out) >= self.limit:
                     self.limit = min(MOST, self.limit + 1 / self.limit)
-            case Bad(amount):
-                self.bad.add(now, amount)
-                if amount > 0.5:
-                    self.failing = True
-                    self.shrink(now)
-            case Late():
+            case Mark.LATE:
+                self.shrink(now)
+            case Mark.BAD:
+                self.bad.add(now)
+                self.failing = True
                 self.shrink(now)
-            case Sweep():
+            case Mark.SWEEP:
                 self.listen(now)
 
     def shrink(self, now: float) -> None:
-        if now >= self.cut + REST and 2 * len(self.out) >= self.limit:
+        if now >= self.cut + REST:
             self.cut, self.limit = now, max(LEAST, self.limit * SHARE)
 
     def room(self, dense: bool, home: bool) -> bool:
@@ -239,10 +221,8 @@
         a short trouble a sound cache is passed by for up to MEMORY.
         """
         bad = self.bad.total(self.router.now)
-        if bad < 0.5:
+        if bad == 0:
             return not (self.failing and self.out)
-        if self.failing and len(self.out) >= self.limit:
-            return False
         return self.draw() > BAR * peers
 
     def draw(self) -> float:
@@ -257,15 +237,15 @@
         super().__init__(router)
         self.levels: OrderedDict[str, int] = OrderedDict()
 
-    def take(self, note: Seen) -> None:
-        name = note.dl.name
+    def take(self, note: "Download") -> None:
+        name = note.name
         level = self.levels.pop(name, 0)
-        if not (note.dl.asked.repeat and level):
+        if not (note.asked.repeat and level):
             level = min(level + 1, KMAX)
         self.levels[name] = level
         if len(self.levels) > TABLE:
             self.levels.popitem(last=False)
-        self.router.post(note.dl, Level(level, 1 - len(self.levels) / TABLE))
+        self.router.post(note, Level(level, 1 - len(self.levels) / TABLE))
 
 
 class Placement(Actor):
@@ -276,9 +256,9 @@
         self.fills = {role: Buckets() for role in V_HOP}
         self.keeps = {role: Buckets() for role in V_HOP}
 
-    def take(self, note: Choose) -> None:
+    def take(self, note: "Download") -> None:
         """A look at the edge first, then a fill there: what missed is then known at every site."""
-        dl, facts = note.dl, self.router.facts
+        dl, facts = note, self.router.facts
         edges = [c for c in self.listed(Role.EDGE) if c.zone == facts.zone]
         parents, origins = self.listed(Role.PARENT), self.listed(Role.ORIGIN)
         edge = dl.missed if dl.missed in edges and dl.missed not in dl.ruled_out else None
@@ -308,9 +288,7 @@
         admitted = [t for t in V_HOP if t in tiers and (t is Role.PARENT or dl.level >= DEPTH)]
         value = {t: ALPHA * dl.v_k + BETA * V_HOP[t] + GAMMA * dl.level for t in admitted}
         rate = {t: self.keeps[t].total(now) / max(self.fills[t].total(now), 1.0) for t in admitted}
-        chosen = (
-            {max(admitted, key=value.__getitem__), min(admitted, key=rate.__getitem__)} if admitted else set()
-        )
+        chosen = {max(admitted, key=value.get), min(admitted, key=rate.get)} if admitted else set()
         for tier in tiers:
             self.fills[tier].add(now)
             self.keeps[tier].add(now, tier in chosen)
@@ -344,9 +322,7 @@
         def rank(cache: Cache) -> float:
             digest = blake2b(f"{dl.name} {cache.id}".encode(), digest_size=7).digest()
             drawn = (int.from_bytes(digest) + 1) / (2**56 + 1)
-            return math.log(drawn) / (
-                cache.weight if self.router.facts.weighted and cache.weight > 0 else 1.0
-            )
+            return math.log(drawn) / (cache.weight if self.router.facts.weighted else 1.0)
 
         return sorted(caches, key=rank, reverse=True)
 
@@ -384,12 +360,9 @@
 
     def refusal(self, plan: Plan) -> Stuck | None:
         dl, now, facts = plan.dl, self.router.now, self.router.facts
-        if dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls or not self.harmless(plan):
-            return Stuck(None)
-        if (
-            any(p.result is not Result.MISS for p in dl.pulls)
-            and self.further.total(now) >= FURTHER * self.downloads.total(now) + 2
-        ):
+        spent = dl.further() and self.further.total(now) >= FURTHER * self.downloads.total(now) + 2
+        over = dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls
+        if spent or over or not self.harmless(plan):
             return Stuck(None)
         for cache in (plan.cache, plan.source):
             if cache is not None and (cache.phase is not Phase.READY or not self.bears(cache, dl)):
@@ -410,16 +383,12 @@
             return True
         if dl.type.effect is Effect.NON_RETRIABLE:
             return False
-        first = maybe[0]
-        if now >= first.sent + dl.type.window - 2 * self.router.facts.tick:
+        if now >= maybe[0].sent + dl.type.window - 2 * self.router.facts.tick:
             return False
-        cache = plan.cache
-        match dl.type.scope:
-            case Scope.ALL:
-                return True
-            case Scope.ZONE:
-                return all(p.cache.zone == cache.zone for p in maybe)
-        return all(p.cache.cell == cache.cell for p in maybe)
+        group = {Scope.ALL: lambda c: 0, Scope.ZONE: lambda c: c.zone, Scope.CELL: lambda c: c.cell}[
+            dl.type.scope
+        ]
+        return all(group(p.cache) == group(plan.cache) for p in maybe)
 
     def bears(self, cache: Cache, dl: "Download") -> bool:
         """A cache that started lately gets this front's share of what it can bear, and no more."""
@@ -427,16 +396,15 @@
         if cache.started is None or cache.role is Role.ORIGIN:
             return True
         parent = cache.role is Role.PARENT
-        floor, rise = (
-            (facts.parent_floor, facts.parent_time) if parent else (facts.cold_floor, facts.cold_time)
+        floor, rise, multiple, fronts = (
+            (facts.parent_floor, facts.parent_time, facts.parent_multiple, facts.fronts)
+            if parent
+            else (facts.cold_floor, facts.cold_time, facts.cold_multiple, facts.zone_fronts)
         )
         age = now - cache.started - facts.cold_window
         if age >= rise:
             return True
         part = floor + (1 - floor) * max(age, 0.0) / rise
-        multiple, fronts = (
-            (facts.parent_multiple, facts.fronts) if parent else (facts.cold_multiple, facts.zone_fronts)
-        )
         most = multiple * part * self.capacity(cache, fronts) * facts.cold_window * CARE
         return self.tally(cache).total(now) + self.router.mean_work(dl.type) <= most
 
@@ -455,8 +423,7 @@
     def send(self, plan: Plan) -> None:
         dl, now = plan.dl, self.router.now
         pull = Pull(plan, len(dl.pulls), now, self.router.mean_work(dl.type))
-        if any(p.result is not Result.MISS for p in dl.pulls):
-            self.further.add(now)
+        self.further.add(now, dl.further())
         dl.pulls.append(pull)
         for cache in (plan.cache, plan.source):
             if cache is not None:
@@ -493,9 +460,8 @@
     def purged(self, note: face.Purged) -> None:
         facts, now = self.router.facts, self.router.now
         name = note.group if note.key is None else note.key
-        self.purges = {
-            n: at for n, at in self.purges.items() if now - at < facts.purge_done + 2 * facts.purge_slack
-        }
+        kept = facts.purge_done + 2 * facts.purge_slack
+        self.purges = {n: at for n, at in self.purges.items() if now - at < kept}
         self.purges[name] = max(now - note.age, self.purges.get(name, -math.inf))
 
     def end(self, note: face.Ended) -> None:
@@ -511,9 +477,10 @@
         """The one final answer that is not a fulfilled pull."""
         if dl.closed:
             return
-        maybe = any(p.result not in NOT_RUN for p in dl.pulls)
-        effect, scope = dl.type.effect, dl.type.scope
-        promise = effect is Effect.RETRIABLE or not maybe or (effect is Effect.DEDUPED and scope is Scope.ALL)
+        maybe = [p for p in dl.pulls if p.result not in NOT_RUN]
+        effect, scope, window = dl.type.effect, dl.type.scope, dl.type.window
+        known = maybe and self.router.now < maybe[0].sent + window and scope is Scope.ALL
+        promise = effect is Effect.RETRIABLE or not maybe or (effect is Effect.DEDUPED and known)
         wait = min(self.router.facts.longest_wait, 0.5)
         self.router.act(face.Throttle(dl.asked.id, wait) if promise else face.Abandon(dl.asked.id))
         self.router.post(dl, face.Left(dl.asked.id))
@@ -525,15 +492,17 @@
     def __init__(self, router: "Router", asked: face.Asked, kind: face.ContentType) -> None:
         super().__init__(router)
         self.asked, self.type = asked, kind
-        self.name = (
-            f"{asked.key} {asked.part}"  # a copy is a copy of one part: the prefilter and hash go by parts
-        )
+        self.name = f"{asked.key} {asked.part}"  # a copy is one of a part: prefilter and hash go by parts
         self.pulls: list[Pull] = []
         self.failed: set[Cache] = set()
         self.ruled_out: set[Cache] = set()
         self.missed: Cache | None = None  # the edge that was looked at and lacks the object
         self.closed, self.level, self.v_k, self.old = False, 0, 0.0, False
 
+    def further(self) -> bool:
+        """Whether another pull would repeat one, rather than fill what a look found missing."""
+        return any(p.result is not Result.MISS for p in self.pulls)
+
     def out(self) -> list[Pull]:
         return [p for p in self.pulls if p.result is None]
 
@@ -548,19 +517,18 @@
                 pass
             case face.Asked():
                 margin = 2 * router.facts.tick
-                router.act(
-                    face.Wake(max(self.asked.until - router.now - margin, 0.0), f"end:{self.asked.id}")
-                )
+                left = max(self.asked.until - router.now - margin, 0.0)
+                router.act(face.Wake(left, f"end:{self.asked.id}"))
                 router.post(router.gate, note)
-                router.post(router.prefilter, Seen(self))
+                router.post(router.prefilter, self)
             case Level(level, v_k):
                 self.level, self.v_k = level, v_k
-                router.post(router.placement, Choose(self))
+                router.post(router.placement, self)
             case Went(pull):
                 self.wait(pull)
             case Stuck(culprit) if culprit is not None and culprit not in self.ruled_out:
                 self.ruled_out.add(culprit)
-                router.post(router.placement, Choose(self))
+                router.post(router.placement, self)
             case Stuck() if not self.out():
                 router.post(router.gate, Close(self))
             case face.Began():
@@ -579,7 +547,7 @@
             return
         if self.router.facts.second_copies:
             if not again:
-                self.router.post(self.router.placement, Choose(self))
+                self.router.post(self.router.placement, self)
         elif firm or again:
             self.router.post(self.router.gate, Doubt(pull, True))
         else:
@@ -595,15 +563,15 @@
             router.learn(self, pull)
             work = self.asked.work or router.mean_work(self.type)
             late = pull.took > self.type.target + self.type.stretch * work
-            router.post(pull.source or pull.cache, Late() if late else Good(1.0))
+            router.post(pull.source or pull.cache, Mark.LATE if late else Mark.GOOD)
         elif pull.result is Result.MISS:
             self.missed = pull.cache
         elif pull.result not in (Result.CALLED_OFF, Result.MOOT) and not pull.doubted:
             self.blame(pull)
         if closed:
             self.close()
-        if not self.closed and not self.out():
-            router.post(router.placement, Choose(self))
+        if not self.closed and all(p.doubted for p in self.out()):
+            router.post(router.placement, self)
         if self.closed and not self.out():
             router.downloads.pop(self.asked.id, None)
 
@@ -611,7 +579,7 @@
         """A look speaks for its edge, a fill for its source: the edge had answered the look before."""
         at_edge = pull.result in (Result.UNREACHED, Result.RESET) or pull.hint is Hint.NO_PLACE
         guilty = pull.cache if at_edge or pull.source is None else pull.source
-        self.router.post(guilty, Bad(1.0))
+        self.router.post(guilty, Mark.BAD)
         self.failed.add(guilty)
         if guilty is self.missed:
             self.missed = None
@@ -677,7 +645,7 @@
                     yield self.downloads[event.id], event
             case face.Woke("sweep"):
                 self.act(face.Wake(SWEEP, "sweep"))
-                yield from ((cache, Sweep()) for cache in self.caches.values())
+                yield from ((cache, Mark.SWEEP) for cache in self.caches.values())
             case face.Woke("watch"):
                 self.act(face.Watch())
             case face.Woke(token):
