Give a slow pull of a sound cache a second wait before a further pull

Cause: most slow pulls are large objects; a second copy of them loads links and origin. A doubt still counts against the cache, so a truly bad one is left at the first doubt soon after. Should also guard against heavy tails of any cause; harms the first few downloads that a silent source holds.

--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -541,17 +541,15 @@
     def doubt(self, pull: Pull, firm: bool) -> None:
         """Past its patience: another pull beside it, or in its place where two may not be out."""
         again, pull.doubted = pull.doubted, True
-        if not again:
-            self.blame(pull)
+        sound = not again and self.blame(pull).trusted(1.0)
         if self.type.effect is Effect.NON_RETRIABLE:
             return
-        if self.router.facts.second_copies:
-            if not again:
-                self.router.post(self.router.placement, self)
-        elif firm or again:
+        if not firm and not again and (sound or not self.router.facts.second_copies):
+            self.wait(pull)
+        elif not self.router.facts.second_copies:
             self.router.post(self.router.gate, Doubt(pull, True))
         else:
-            self.wait(pull)
+            self.router.post(self.router.placement, self)
 
     def wait(self, pull: Pull) -> None:
         delay = PATIENCE * self.router.expected(self, pull.source is not None)
@@ -575,7 +573,7 @@
         if self.closed and not self.out():
             router.downloads.pop(self.asked.id, None)
 
-    def blame(self, pull: Pull) -> None:
+    def blame(self, pull: Pull) -> Cache:
         """A look speaks for its edge, a fill for its source: the edge had answered the look before."""
         at_edge = pull.result in (Result.UNREACHED, Result.RESET) or pull.hint is Hint.NO_PLACE
         guilty = pull.cache if at_edge or pull.source is None else pull.source
@@ -583,6 +581,7 @@
         self.failed.add(guilty)
         if guilty is self.missed:
             self.missed = None
+        return guilty
 
     def close(self) -> None:
         if not self.closed:
