--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -173,7 +173,8 @@
                 self.good.add(now)
                 self.failing = False
                 if 2 * len(self.out) >= self.limit:
-                    self.limit = min(MOST, self.limit + 1 / self.limit)
+                    calm = now - self.cut > MEMORY
+                    self.limit = min(MOST, self.limit + (1 if calm else 1 / self.limit))
             case Mark.LATE:
                 self.shrink(now)
             case Mark.BAD:
