--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -36,6 +36,7 @@
 GAPS = 8.0  # usual gaps between answers after which a cache counts as silent
 SWEEP = 0.2  # seconds between looks for silent caches
 FURTHER = 0.15  # further pulls for each download, in MEMORY
+THROUGH = 0.5  # what a fill that passes an edge counts there, a look counting one
 CARE = 0.6  # part of a cold cache's budget that is used
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
 
@@ -150,6 +151,7 @@
     def reset(self) -> None:
         self.good, self.bad, self.answers = Buckets(), Buckets(), Buckets()
         self.out: dict[Pull, None] = {}
+        self.through = 0
         self.heard, self.failing, self.cut = -math.inf, False, -math.inf
         facts = self.router.facts
         self.limit = max(LEAST, SPREAD * self.weight / facts.zone_fronts) if facts.weighted else START
@@ -162,6 +164,10 @@
                     self.started = note.started
                     self.reset()
                 self.phase, self.weight = note.phase, note.weight
+            case Went(pull) if pull.source not in (None, self):
+                self.through += 1
+            case Done(pull) if pull.source not in (None, self):
+                self.through = max(0, self.through - 1)
             case Went(pull):
                 self.out[pull] = None
             case Done(pull):
@@ -173,8 +179,7 @@
                 self.good.add(now)
                 self.failing = False
                 if 2 * len(self.out) >= self.limit:
-                    calm = now - self.cut > MEMORY
-                    self.limit = min(MOST, self.limit + (1 if calm else 1 / self.limit))
+                    self.limit = min(MOST, self.limit + 1 / self.limit)
             case Mark.LATE:
                 self.shrink(now)
             case Mark.BAD:
@@ -194,7 +199,8 @@
         Past it answers would come late for all. An edge counts its looks, a source its fills, so that
         stuck fills never shut out hits. Harm: a cache that is late for another cause gets too little.
         """
-        return len(self.out) < self.limit * (HEADROOM if dense else 1.0) * (1.0 if home else SPILL)
+        load = len(self.out) + THROUGH * self.through
+        return load < self.limit * (HEADROOM if dense else 1.0) * (1.0 if home else SPILL)
 
     def listen(self, now: float) -> None:
         """Guards against a cache that takes pulls and answers none (dead machine, cut wire, standstill).
@@ -368,10 +374,10 @@
         for cache in (plan.cache, plan.source):
             if cache is not None and (cache.phase is not Phase.READY or not self.bears(cache, dl)):
                 return Stuck(cache)
-        loaded = plan.source or plan.cache
-        home = all(c.role is not loaded.role for c in dl.ruled_out)
-        if not dl.type.at_origin and not loaded.room(self.router.densest(dl.type), home):
-            return Stuck(loaded)
+        for cache in (plan.source, plan.cache):
+            home = cache is dl.missed or all(c.role is not cache.role for c in dl.ruled_out if cache)
+            if cache and not dl.type.at_origin and not cache.room(self.router.densest(dl.type), home):
+                return Stuck(cache)
         return None
 
     def harmless(self, plan: Plan) -> bool:
@@ -445,7 +451,8 @@
                 renew=False,
             )
         )
-        self.router.post(plan.source or plan.cache, Went(pull))
+        for cache in {plan.cache: 1, plan.source or plan.cache: 1}:
+            self.router.post(cache, Went(pull))
         self.router.post(dl, Went(pull))
 
     def age(self, plan: Plan) -> float:
@@ -471,7 +478,8 @@
             return
         pull = dl.pulls[note.pull]
         pull.result, pull.hint, pull.took = note.result, note.hint, note.took
-        self.router.post(pull.source or pull.cache, Done(pull, note.closed))
+        for cache in {pull.cache: 1, pull.source or pull.cache: 1}:
+            self.router.post(cache, Done(pull, note.closed))
         self.router.post(dl, Done(pull, note.closed))
 
     def answer(self, dl: "Download") -> None:
