--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -30,6 +30,7 @@
 SPREAD = 2.0  # first limit, over this front's share of the cache's link
 START = 12.0  # first limit where links are not told
 SPILL = 0.5  # part of a limit open to what the hash meant for another cache
+CROWD, CROWD_SPAN = 0.1, 3.0  # share of late answers, and seconds, that tell a crowd from large objects
 REST = 0.1  # seconds between two cuts of a limit
 HEADROOM = 1.3  # how far the content type with most benefit for its work may pass a limit
 PATIENCE = 2.5  # expected times that a pull may take before it is doubted
@@ -151,7 +152,7 @@
     def reset(self) -> None:
         self.good, self.bad, self.answers = Buckets(), Buckets(), Buckets()
         self.out: dict[Pull, None] = {}
-        self.through = 0
+        self.through, self.timely, self.late = 0, Buckets(CROWD_SPAN), Buckets(CROWD_SPAN)
         self.heard, self.failing, self.cut = -math.inf, False, -math.inf
         facts = self.router.facts
         self.limit = max(LEAST, SPREAD * self.weight / facts.zone_fronts) if facts.weighted else START
@@ -177,11 +178,15 @@
                     self.answers.add(now)
             case Mark.GOOD:
                 self.good.add(now)
+                self.timely.add(now)
                 self.failing = False
                 if 2 * len(self.out) >= self.limit:
                     self.limit = min(MOST, self.limit + 1 / self.limit)
             case Mark.LATE:
-                self.shrink(now)
+                self.late.add(now)
+                late = self.late.total(now)
+                if late > 1 + CROWD * (late + self.timely.total(now)):
+                    self.shrink(now)
             case Mark.BAD:
                 self.bad.add(now)
                 self.failing = True
