--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -182,15 +182,14 @@
                 self.failing = False
                 if 2 * len(self.out) >= self.limit:
                     self.limit = min(MOST, self.limit + 1 / self.limit)
-            case Mark.LATE:
+            case Mark.LATE | Mark.BAD:
+                if note is Mark.BAD:
+                    self.bad.add(now)
+                    self.failing = True
                 self.late.add(now)
                 late = self.late.total(now)
                 if late > 1 + CROWD * (late + self.timely.total(now)):
                     self.shrink(now)
-            case Mark.BAD:
-                self.bad.add(now)
-                self.failing = True
-                self.shrink(now)
             case Mark.SWEEP:
                 self.listen(now)
 
@@ -575,7 +574,8 @@
             router.learn(self, pull)
             work = self.asked.work or router.mean_work(self.type)
             late = pull.took > self.type.target + self.type.stretch * work
-            router.post(pull.source or pull.cache, Mark.LATE if late else Mark.GOOD)
+            if not (late and pull.doubted):
+                router.post(pull.source or pull.cache, Mark.LATE if late else Mark.GOOD)
         elif pull.result is Result.MISS:
             self.missed = pull.cache
         elif pull.result not in (Result.CALLED_OFF, Result.MOOT) and not pull.doubted:
