--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -37,7 +37,7 @@
 GAPS = 8.0  # usual gaps between answers after which a cache counts as silent
 SWEEP = 0.2  # seconds between looks for silent caches
 FURTHER = 0.15  # further pulls for each download, in MEMORY
-THROUGH = 0.5  # what a fill that passes an edge counts there, a look counting one
+THROUGH = 1.0  # what a fill that passes an edge counts there, a look counting one
 CARE = 0.6  # part of a cold cache's budget that is used
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
 
