--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -66,13 +66,13 @@
         1.00 pay-ran: abandoned
         1.00 pay-not: 1 look rank 2
         1.00 pay-not: 2 look rank 2
-        1.00 order-ran: 1 look rank 2
         1.00 order-ran: 2 look rank 2
+        1.00 order-ran: 1 look rank 2
         1.00 order-not: 2 look rank 2
         1.00 order-not: 1 look rank 2
         1.00 near-ran: 1 look rank 2
         1.00 near-ran: abandoned
-        1.00 near-not: 1 look rank 2
+        1.00 near-not: 2 look rank 2
         1.00 near-not: throttled, wait 0.5
         20.00 late: 1 look rank 2
         21.00 late: abandoned
--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -27,7 +27,7 @@
 BAR = 0.8  # a doubtful cache must draw this share of its peers' success
 SHARE = 0.6  # what a late or failed answer leaves of a limit
 LEAST, MOST = 1.0, 64.0  # bounds of a cache's limit on what is in flight
-SPREAD = 4.0  # first limit, over this front's share of the cache's link
+SPREAD = 2.0  # first limit, over this front's share of the cache's link
 START = 12.0  # first limit where links are not told
 SPILL = 0.5  # part of a limit open to what the hash meant for another cache
 CROWD, CROWD_SPAN = 0.1, 3.0  # share of late answers, and seconds, that tell a crowd from large objects
@@ -37,7 +37,7 @@
 GAPS = 8.0  # usual gaps between answers after which a cache counts as silent
 SWEEP = 0.2  # seconds between looks for silent caches
 FURTHER = 0.15  # further pulls for each download, in MEMORY
-THROUGH = 1.0  # what a fill that passes an edge counts there, a look counting one
+THROUGH = 0.5  # what a fill that passes an edge counts there, a look counting one
 CARE = 0.6  # part of a cold cache's budget that is used
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
 
@@ -86,6 +86,9 @@
     leave: bool = False
     old: bool = False
 
+    def caches(self) -> "list[Cache]":
+        return [self.source, self.cache] if self.source else [self.cache]
+
 
 class Stuck(NamedTuple):
     """No pull now; `culprit` is the cache in the way, if another would do."""
@@ -93,15 +96,6 @@
     culprit: "Cache | None"
 
 
-class Went(NamedTuple):
-    pull: "Pull"
-
-
-class Done(NamedTuple):
-    pull: "Pull"
-    closed: bool
-
-
 class Doubt(NamedTuple):
     """The pull takes too long; `firm` where waiting on would be of no use."""
 
@@ -109,10 +103,6 @@
     firm: bool
 
 
-class Close(NamedTuple):
-    dl: "Download"
-
-
 class Mark(Enum):
     """What a cache is told of its own answers, or that it is time to listen."""
 
@@ -120,13 +110,13 @@
 
 
 class Pull:
-    """One pull of a download; the Gate writes it."""
+    """One pull of a download; the Gate writes it and sends it round as a note when it goes out and ends."""
 
     def __init__(self, plan: Plan, number: int, now: float, work: float) -> None:
         self.dl, self.cache, self.source = plan.dl, plan.cache, plan.source
-        self.number, self.sent, self.work = number, now, work
+        self.caches, self.number, self.sent, self.work = plan.caches(), number, now, work
         self.result: Result | None = None
-        self.hint, self.took, self.doubted = Hint.NONE, 0.0, False
+        self.hint, self.took, self.closed, self.doubted = Hint.NONE, 0.0, False, False
 
 
 class Actor:
@@ -165,15 +155,13 @@
                     self.started = note.started
                     self.reset()
                 self.phase, self.weight = note.phase, note.weight
-            case Went(pull) if pull.source not in (None, self):
-                self.through += 1
-            case Done(pull) if pull.source not in (None, self):
-                self.through = max(0, self.through - 1)
-            case Went(pull):
-                self.out[pull] = None
-            case Done(pull):
-                self.out.pop(pull, None)
-                if pull.result not in (Result.TIMED_OUT, Result.CALLED_OFF, Result.UNREACHED, Result.MOOT):
+            case Pull() if note.source not in (None, self):
+                self.through = max(0, self.through + (1 if note.result is None else -1))
+            case Pull(result=None):
+                self.out[note] = None
+            case Pull():
+                self.out.pop(note, None)
+                if note.result not in (Result.TIMED_OUT, Result.CALLED_OFF, Result.UNREACHED, Result.MOOT):
                     self.heard = now
                     self.answers.add(now)
             case Mark.GOOD:
@@ -198,19 +186,17 @@
             self.cut, self.limit = now, max(LEAST, self.limit * SHARE)
 
     def room(self, dense: bool, home: bool) -> bool:
-        """Guards against a jam: what is in flight from here stays under a limit found by AIMD.
+        """Guards against jams, where all would come late: in flight from here is under a limit found by AIMD.
 
-        Past it answers would come late for all. An edge counts its looks, a source its fills, so that
-        stuck fills never shut out hits. Harm: a cache that is late for another cause gets too little.
+        Harm: a cache that is late for another cause than its load gets less than it could bear.
         """
         load = len(self.out) + THROUGH * self.through
         return load < self.limit * (HEADROOM if dense else 1.0) * (1.0 if home else SPILL)
 
     def listen(self, now: float) -> None:
-        """Guards against a cache that takes pulls and answers none (dead machine, cut wire, standstill).
+        """Guards against a cache that takes pulls and answers none: dead, cut off or standing still.
 
-        Its pulls are doubted long before their patience ends. Harm: a cache asked seldom looks silent
-        when its few answers are long ones, so two pulls must be out and the gap be many usual ones.
+        Harm: one asked seldom looks silent while it sends long answers, so two pulls must be out.
         """
         if len(self.out) < 2:
             return
@@ -226,13 +212,12 @@
         return (bad + 0.5) / (good + bad + 1)
 
     def trusted(self, peers: float) -> bool:
-        """Guards against caches that fail fast, partly or slowly: a draw from the posterior decides.
+        """Guards against caches that fail fast, partly or slowly, by a draw from the posterior.
 
-        Measured against the peers, so that a trouble that strikes all alike scatters nothing. Harm: after
-        a short trouble a sound cache is passed by for up to MEMORY.
+        Set against the peers, so that what strikes all alike scatters nothing. Harm: after a short
+        trouble a sound cache is passed by for up to MEMORY.
         """
-        bad = self.bad.total(self.router.now)
-        if bad == 0:
+        if self.bad.total(self.router.now) == 0:
             return not (self.failing and self.out)
         return self.draw() > BAR * peers
 
@@ -322,10 +307,8 @@
         """The first by hash that is trusted; unless `sure`, else the best draw of those not ruled out."""
         ranked = [c for c in self.ranked(dl, caches) if c not in dl.ruled_out]
         fresh = [c for c in ranked if c not in dl.failed]
-        for cache in fresh:
-            if cache.trusted(peers):
-                return cache
-        return None if sure else max(fresh or ranked, key=Cache.draw, default=None)
+        best = None if sure else max(fresh or ranked, key=Cache.draw, default=None)
+        return next((c for c in fresh if c.trusted(peers)), best)
 
     def ranked(self, dl: "Download", caches: list[Cache]) -> list[Cache]:
         """Weighted rendezvous, the same at every front."""
@@ -355,19 +338,18 @@
             case face.Asked():
                 self.downloads.add(self.router.now)
             case Plan():
-                stuck = self.refusal(note)
-                if stuck is None:
-                    self.send(note)
-                else:
+                if stuck := self.refusal(note):
                     self.router.post(note.dl, stuck)
+                else:
+                    self.send(note)
             case face.Ended():
                 self.end(note)
             case Doubt(pull, _) if pull.result is None and self.router.facts.calls_off:
                 self.router.act(face.CallOff(pull.dl.asked.id, pull.number))
             case face.Purged():
                 self.purged(note)
-            case Close(dl):
-                self.answer(dl)
+            case Download():
+                self.answer(note)
 
     def refusal(self, plan: Plan) -> Stuck | None:
         dl, now, facts = plan.dl, self.router.now, self.router.facts
@@ -375,12 +357,10 @@
         over = dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls
         if spent or over or not self.harmless(plan):
             return Stuck(None)
-        for cache in (plan.cache, plan.source):
-            if cache is not None and (cache.phase is not Phase.READY or not self.bears(cache, dl)):
-                return Stuck(cache)
-        for cache in (plan.source, plan.cache):
-            home = cache is dl.missed or all(c.role is not cache.role for c in dl.ruled_out if cache)
-            if cache and not dl.type.at_origin and not cache.room(self.router.densest(dl.type), home):
+        for cache in plan.caches():
+            home = cache is dl.missed or all(c.role is not cache.role for c in dl.ruled_out)
+            free = dl.type.at_origin or cache.room(self.router.densest(dl.type), home)
+            if not free or cache.phase is not Phase.READY or not self.bears(cache, dl):
                 return Stuck(cache)
         return None
 
@@ -424,9 +404,8 @@
         if self.router.facts.weighted:
             return cache.weight / fronts
         now, window = self.router.now, self.router.facts.cold_window
-        peers = [c for c in self.sent if c.role is cache.role and c is not cache and c.started is None]
-        seen = [self.sent[c].total(now) / window for c in peers]
-        return max([sum(seen) / len(seen) if seen else 0.0, 0.5])
+        warm = [b for c, b in self.sent.items() if c.role is cache.role and c.started is None]
+        return max(sum(b.total(now) for b in warm) / window / max(len(warm), 1), 0.5)
 
     def tally(self, cache: Cache) -> Buckets:
         return self.sent.setdefault(cache, Buckets(self.router.facts.cold_window))
@@ -436,28 +415,16 @@
         pull = Pull(plan, len(dl.pulls), now, self.router.mean_work(dl.type))
         self.further.add(now, dl.further())
         dl.pulls.append(pull)
-        for cache in (plan.cache, plan.source):
-            if cache is not None:
-                self.tally(cache).add(now, pull.work)
+        for cache in plan.caches():
+            self.tally(cache).add(now, pull.work)
         source = plan.source or (plan.cache if plan.cache.role is not Role.ORIGIN else None)
-        fills = [p for p in dl.pulls if p.source is not None]
-        self.router.act(
-            face.SendPull(
-                id=dl.asked.id,
-                cache=plan.cache.id,
-                source=source.id if source else None,
-                rank=plan.rank,
-                age=self.age(plan),
-                patience=0.0,
-                join=self.router.facts.joins and len(fills) < 2,
-                only_held=False,
-                leave_no_copy=plan.leave,
-                renew=False,
-            )
-        )
-        for cache in {plan.cache: 1, plan.source or plan.cache: 1}:
-            self.router.post(cache, Went(pull))
-        self.router.post(dl, Went(pull))
+        join = self.router.facts.joins and not any(p.source for p in dl.pulls[:-1])
+        name, by, at = dl.asked.id, source and source.id, plan.cache.id
+        action = face.SendPull(name, at, by, plan.rank, self.age(plan), 0.0, join, False, plan.leave, False)
+        self.router.act(action)
+        for cache in plan.caches():
+            self.router.post(cache, pull)
+        self.router.post(dl, pull)
 
     def age(self, plan: Plan) -> float:
         """Oldest copy that will do: never one older than a purge that this front knows of."""
@@ -477,14 +444,13 @@
         self.purges[name] = max(now - note.age, self.purges.get(name, -math.inf))
 
     def end(self, note: face.Ended) -> None:
-        dl = self.router.downloads.get(note.id)
-        if dl is None:
+        if (dl := self.router.downloads.get(note.id)) is None:
             return
         pull = dl.pulls[note.pull]
-        pull.result, pull.hint, pull.took = note.result, note.hint, note.took
-        for cache in {pull.cache: 1, pull.source or pull.cache: 1}:
-            self.router.post(cache, Done(pull, note.closed))
-        self.router.post(dl, Done(pull, note.closed))
+        pull.result, pull.hint, pull.took, pull.closed = note.result, note.hint, note.took, note.closed
+        for cache in pull.caches:
+            self.router.post(cache, pull)
+        self.router.post(dl, pull)
 
     def answer(self, dl: "Download") -> None:
         """The one final answer that is not a fulfilled pull."""
@@ -522,8 +488,8 @@
     def take(self, note: Any) -> None:
         router = self.router
         match note:
-            case Done(pull, closed):
-                self.done(pull, closed)
+            case Pull() if note.result is not None:
+                self.done(note)
             case face.Left():
                 self.close()
             case _ if self.closed:
@@ -537,19 +503,19 @@
             case Level(level, v_k):
                 self.level, self.v_k = level, v_k
                 router.post(router.placement, self)
-            case Went(pull):
-                self.wait(pull)
+            case Pull():
+                self.wait(note)
             case Stuck(culprit) if culprit is not None and culprit not in self.ruled_out:
                 self.ruled_out.add(culprit)
                 router.post(router.placement, self)
             case Stuck() if not self.out():
-                router.post(router.gate, Close(self))
+                router.post(router.gate, self)
             case face.Began():
                 self.closed = True
             case Doubt(pull, firm) if pull.result is None:
                 self.doubt(pull, firm)
             case face.Woke():
-                router.post(router.gate, Close(self))
+                router.post(router.gate, self)
 
     def doubt(self, pull: Pull, firm: bool) -> None:
         """Past its patience: another pull beside it, or in its place where two may not be out."""
@@ -568,7 +534,7 @@
         delay = PATIENCE * self.router.expected(self, pull.source is not None)
         self.router.act(face.Wake(delay, f"slow:{self.asked.id}:{pull.number}"))
 
-    def done(self, pull: Pull, closed: bool) -> None:
+    def done(self, pull: Pull) -> None:
         router = self.router
         if pull.result is Result.FULFILLED:
             router.learn(self, pull)
@@ -580,7 +546,7 @@
             self.missed = pull.cache
         elif pull.result not in (Result.CALLED_OFF, Result.MOOT) and not pull.doubted:
             self.blame(pull)
-        if closed:
+        if pull.closed:
             self.close()
         if not self.closed and all(p.doubted for p in self.out()):
             router.post(router.placement, self)
