--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -332,6 +332,7 @@
         self.purges: dict[str | int, float] = {}
         self.sent: dict[Cache, Buckets] = {}  # work put to a cache, over the window in which it could fall
         self.downloads, self.further = Buckets(), Buckets()
+        self.borne = dict.fromkeys(Role, 0.5)  # flows
 
     def take(self, note: Any) -> None:
         match note:
@@ -381,31 +382,35 @@
         ]
         return all(group(p.cache) == group(plan.cache) for p in maybe)
 
-    def bears(self, cache: Cache, dl: "Download") -> bool:
-        """A cache that started lately gets this front's share of what it can bear, and no more."""
+    def part(self, cache: Cache) -> float:
+        """The least part of its link that a cache can be counted on for, by its age one window ago."""
         now, facts = self.router.now, self.router.facts
-        if cache.started is None or cache.role is Role.ORIGIN:
-            return True
+        if cache.started is None:
+            return 1.0
         parent = cache.role is Role.PARENT
-        floor, rise, multiple, fronts = (
-            (facts.parent_floor, facts.parent_time, facts.parent_multiple, facts.fronts)
-            if parent
-            else (facts.cold_floor, facts.cold_time, facts.cold_multiple, facts.zone_fronts)
-        )
-        age = now - cache.started - facts.cold_window
-        if age >= rise:
+        floor = facts.parent_floor if parent else facts.cold_floor
+        age = max(now - cache.started - facts.cold_window, 0.0)
+        return min(1.0, floor + (1 - floor) * age / (facts.parent_time if parent else facts.cold_time))
+
+    def bears(self, cache: Cache, dl: "Download") -> bool:
+        """A cache that started lately gets this front's share of what it can bear, and no more."""
+        facts, part = self.router.facts, self.part(cache)
+        if part >= 1 or cache.role is Role.ORIGIN:
             return True
-        part = floor + (1 - floor) * max(age, 0.0) / rise
-        most = multiple * part * self.capacity(cache, fronts) * facts.cold_window * CARE
-        return self.tally(cache).total(now) + self.router.mean_work(dl.type) <= most
-
-    def capacity(self, cache: Cache, fronts: int) -> float:
-        """This front's share of a cache's link in flows: as listed, else as warm ones were seen to bear."""
-        if self.router.facts.weighted:
-            return cache.weight / fronts
-        now, window = self.router.now, self.router.facts.cold_window
-        warm = [b for c, b in self.sent.items() if c.role is cache.role and c.started is None]
-        return max(sum(b.total(now) for b in warm) / window / max(len(warm), 1), 0.5)
+        multiple = facts.parent_multiple if cache.role is Role.PARENT else facts.cold_multiple
+        most = multiple * part * self.capacity(cache) * facts.cold_window * CARE
+        return self.tally(cache).total(self.router.now) + self.router.mean_work(dl.type) <= most
+
+    def capacity(self, cache: Cache) -> float:
+        """This front's share of a cache's link in flows: as listed, else the most that warm ones bore."""
+        facts, now, role = self.router.facts, self.router.now, cache.role
+        if facts.weighted:
+            return cache.weight / (facts.fronts if role is Role.PARENT else facts.zone_fronts)
+        alike = [c for c in self.sent if c.role is role and c.phase is Phase.READY]
+        warm = [self.sent[c].total(now) / facts.cold_window for c in alike if self.part(c) >= 1]
+        if warm and 2 * len(warm) >= len(alike):
+            self.borne[role] = max(self.borne[role], sum(warm) / len(warm))
+        return self.borne[role]
 
     def tally(self, cache: Cache) -> Buckets:
         return self.sent.setdefault(cache, Buckets(self.router.facts.cold_window))
