Let a strained parent give what it holds first, and count fetches at the origin

Cause: while the origin was slow, parents' limits fell to one and their own copies were throttled. Should also cover an origin that stops or turns away; harms with one more round trip to a parent cut in the last ten seconds.

--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -85,6 +85,12 @@
     rank: int = 0
     leave: bool = False
     old: bool = False
+    held: bool = False  # the source gives only what it holds
+    origin: "Cache | None" = None  # what is known to be fetched there counts there
+
+    def at(self) -> "Cache":
+        """The cache whose limit the pull counts against, and which its end speaks for."""
+        return self.origin or self.source or self.cache
 
     def caches(self) -> "list[Cache]":
         return [self.source, self.cache] if self.source else [self.cache]
@@ -114,7 +120,13 @@
 
     def __init__(self, plan: Plan, number: int, now: float, work: float) -> None:
         self.dl, self.cache, self.source = plan.dl, plan.cache, plan.source
-        self.caches, self.number, self.sent, self.work = plan.caches(), number, now, work
+        self.at, self.caches, self.number, self.sent, self.work = (
+            plan.at(),
+            plan.caches(),
+            number,
+            now,
+            work,
+        )
         self.result: Result | None = None
         self.hint, self.took, self.closed, self.doubted = Hint.NONE, 0.0, False, False
 
@@ -155,7 +167,7 @@
                     self.started = note.started
                     self.reset()
                 self.phase, self.weight = note.phase, note.weight
-            case Pull() if note.source not in (None, self):
+            case Pull() if note.at is not self:
                 self.through = max(0, self.through + (1 if note.result is None else -1))
             case Pull(result=None):
                 self.out[note] = None
@@ -264,7 +276,11 @@
         elif edge is None and (edge := self.pick(dl, edges, self.mean_good(edges))) and not dl.type.at_origin:
             plan = Plan(dl, edge, rank=RANK if dl.level >= DEPTH else 0)
         elif edge is not None and (source := self.source(dl, parents, origins)):
-            plan = Plan(dl, edge, source) if dl.type.at_origin else self.keep(Plan(dl, edge, source))
+            plan = (
+                Plan(dl, edge, source)
+                if dl.type.at_origin
+                else self.keep(self.staged(dl, edge, source, origins))
+            )
         elif edge is not None and dl.type.grace and not dl.old:
             dl.old = True
             plan = Plan(dl, edge, rank=RANK if dl.level >= DEPTH else 0, old=True)
@@ -277,6 +293,17 @@
     def mean_good(self, caches: list[Cache]) -> float:
         return 1 - sum(c.share_bad() for c in caches) / max(len(caches), 1)
 
+    def staged(self, dl: "Download", edge: Cache, source: Cache, origins: list[Cache]) -> Plan:
+        """Guards a parent's copies from the origin's trouble: a strained parent gives what it holds first.
+
+        What it lacks is then fetched under the origin's limit. Harm: one more round trip to the parent.
+        """
+        if source.role is not Role.PARENT or not origins:
+            return Plan(dl, edge, source)
+        if dl.fetch:
+            return Plan(dl, edge, source, origin=origins[0])
+        return Plan(dl, edge, source, held=self.router.now - source.cut < MEMORY)
+
     def keep(self, plan: Plan) -> Plan:
         """The two tests: best value and lowest cache rate keep the copy, the others leave none."""
         now, dl = self.router.now, plan.dl
@@ -294,6 +321,8 @@
 
     def source(self, dl: "Download", parents: list[Cache], origins: list[Cache]) -> Cache | None:
         """The hub's parent by hash, then any by hash; the origin where no parent does as well."""
+        if dl.fetch and any(c in dl.ruled_out for c in origins):
+            return None
         near = [c for c in parents if c.zone == self.router.facts.hub] or parents
         peers = 1 - min((c.share_bad() for c in parents + origins), default=0.0)
         picked = self.pick(dl, near, 1.0, sure=True) or self.pick(dl, parents, peers, sure=True)
@@ -358,7 +387,7 @@
         over = dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls
         if spent or over or not self.harmless(plan):
             return Stuck(None)
-        for cache in plan.caches():
+        for cache in dict.fromkeys([plan.at(), *plan.caches()]):
             home = cache is dl.missed or all(c.role is not cache.role for c in dl.ruled_out)
             free = dl.type.at_origin or cache.room(self.router.densest(dl.type), home)
             if not free or cache.phase is not Phase.READY or not self.bears(cache, dl):
@@ -425,9 +454,11 @@
         source = plan.source or (plan.cache if plan.cache.role is not Role.ORIGIN else None)
         join = self.router.facts.joins and not any(p.source for p in dl.pulls[:-1])
         name, by, at = dl.asked.id, source and source.id, plan.cache.id
-        action = face.SendPull(name, at, by, plan.rank, self.age(plan), 0.0, join, False, plan.leave, False)
+        action = face.SendPull(
+            name, at, by, plan.rank, self.age(plan), 0.0, join, plan.held, plan.leave, False
+        )
         self.router.act(action)
-        for cache in plan.caches():
+        for cache in dict.fromkeys([pull.at, *pull.caches]):
             self.router.post(cache, pull)
         self.router.post(dl, pull)
 
@@ -453,7 +484,7 @@
             return
         pull = dl.pulls[note.pull]
         pull.result, pull.hint, pull.took, pull.closed = note.result, note.hint, note.took, note.closed
-        for cache in pull.caches:
+        for cache in dict.fromkeys([pull.at, *pull.caches]):
             self.router.post(cache, pull)
         self.router.post(dl, pull)
 
@@ -482,6 +513,7 @@
         self.ruled_out: set[Cache] = set()
         self.missed: Cache | None = None  # the edge that was looked at and lacks the object
         self.closed, self.level, self.v_k, self.old = False, 0, 0.0, False
+        self.fetch = False  # a parent was found to lack the object
 
     def further(self) -> bool:
         """Whether another pull would repeat one, rather than fill what a look found missing."""
@@ -546,9 +578,9 @@
             work = self.asked.work or router.mean_work(self.type)
             late = pull.took > self.type.target + self.type.stretch * work
             if not (late and pull.doubted):
-                router.post(pull.source or pull.cache, Mark.LATE if late else Mark.GOOD)
+                router.post(pull.at, Mark.LATE if late else Mark.GOOD)
         elif pull.result is Result.MISS:
-            self.missed = pull.cache
+            self.missed, self.fetch = pull.cache, pull.source is not None
         elif pull.result not in (Result.CALLED_OFF, Result.MOOT) and not pull.doubted:
             self.blame(pull)
         if pull.closed:
@@ -561,9 +593,9 @@
     def blame(self, pull: Pull) -> Cache:
         """A look speaks for its edge, a fill for its source: the edge had answered the look before."""
         at_edge = pull.result in (Result.UNREACHED, Result.RESET) or pull.hint is Hint.NO_PLACE
-        guilty = pull.cache if at_edge or pull.source is None else pull.source
+        guilty = pull.cache if at_edge else pull.at
         self.router.post(guilty, Mark.BAD)
-        self.failed.add(guilty)
+        self.failed |= {guilty, guilty if at_edge else pull.source or guilty}
         if guilty is self.missed:
             self.missed = None
         return guilty
