--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -157,7 +157,8 @@
         self.through, self.timely, self.late = 0, Buckets(CROWD_SPAN), Buckets(CROWD_SPAN)
         self.heard, self.failing, self.cut = -math.inf, False, -math.inf
         facts = self.router.facts
-        self.limit = max(LEAST, SPREAD * self.weight / facts.zone_fronts) if facts.weighted else START
+        told = facts.weighted and self.role is not Role.ORIGIN
+        self.limit = max(LEAST, SPREAD * self.weight / facts.zone_fronts) if told else START
 
     def take(self, note: Any) -> None:
         now = self.router.now
