--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -8,8 +8,9 @@
 import math
 import random
 import zlib
-from collections import OrderedDict, deque
+from collections import OrderedDict, defaultdict, deque
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
 from typing import Any, NamedTuple
@@ -35,10 +36,13 @@
 HEADROOM = 1.3  # how far the content type with most benefit for its work may pass a limit
 PATIENCE = 2.5  # expected times that a pull may take before it is doubted
 GAPS = 8.0  # usual gaps between answers after which a cache counts as silent
+QUIET = 0.4, 2.0  # least and most seconds of that
 SWEEP = 0.2  # seconds between looks for silent caches
 FURTHER = 0.15  # further pulls for each download, in MEMORY
 THROUGH = 0.5  # what a fill that passes an edge counts there, a look counting one
-CARE = 0.6  # part of a cold cache's budget that is used
+BACK = 0.5  # seconds after which a throttled client may come back
+CARE = 0.75  # part of a cold cache's budget that is used
+BORNE = 0.5  # flows that a cache is held to bear before any was seen to bear more
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
 
 
@@ -78,7 +82,10 @@
     v_k: float
 
 
-class Plan(NamedTuple):
+@dataclass(eq=False)
+class Pull:
+    """Planned by Placement, let out by the Gate, and sent round as a note when it goes out and ends."""
+
     dl: "Download"
     cache: "Cache"
     source: "Cache | None" = None  # none: a look, which fills nothing
@@ -87,14 +94,25 @@
     old: bool = False
     held: bool = False  # the source gives only what it holds
     origin: "Cache | None" = None  # what is known to be fetched there counts there
+    number: int = 0
+    sent: float = 0.0
+    result: Result | None = None
+    hint: Hint = Hint.NONE
+    took: float = 0.0
+    closed: bool = False
+    doubted: bool = False
 
     def at(self) -> "Cache":
         """The cache whose limit the pull counts against, and which its end speaks for."""
         return self.origin or self.source or self.cache
 
     def caches(self) -> "list[Cache]":
+        """Those that the pull reaches."""
         return [self.source, self.cache] if self.source else [self.cache]
 
+    def told(self) -> "list[Cache]":
+        return list(dict.fromkeys([self.at(), *self.caches()]))
+
 
 class Stuck(NamedTuple):
     """No pull now; `culprit` is the cache in the way, if another would do."""
@@ -115,22 +133,6 @@
     GOOD, LATE, BAD, SWEEP = range(4)
 
 
-class Pull:
-    """One pull of a download; the Gate writes it and sends it round as a note when it goes out and ends."""
-
-    def __init__(self, plan: Plan, number: int, now: float, work: float) -> None:
-        self.dl, self.cache, self.source = plan.dl, plan.cache, plan.source
-        self.at, self.caches, self.number, self.sent, self.work = (
-            plan.at(),
-            plan.caches(),
-            number,
-            now,
-            work,
-        )
-        self.result: Result | None = None
-        self.hint, self.took, self.closed, self.doubted = Hint.NONE, 0.0, False, False
-
-
 class Actor:
     """A part with an inbox; only the Router's loop empties it."""
 
@@ -168,7 +170,7 @@
                     self.started = note.started
                     self.reset()
                 self.phase, self.weight = note.phase, note.weight
-            case Pull() if note.at is not self:
+            case Pull() if note.at() is not self:
                 self.through = max(0, self.through + (1 if note.result is None else -1))
             case Pull(result=None):
                 self.out[note] = None
@@ -189,15 +191,12 @@
                     self.failing = True
                 self.late.add(now)
                 late = self.late.total(now)
-                if late > 1 + CROWD * (late + self.timely.total(now)):
-                    self.shrink(now)
+                crowd = late > 1 + CROWD * (late + self.timely.total(now))
+                if crowd and now >= self.cut + REST:
+                    self.cut, self.limit = now, max(LEAST, self.limit * SHARE)
             case Mark.SWEEP:
                 self.listen(now)
 
-    def shrink(self, now: float) -> None:
-        if now >= self.cut + REST:
-            self.cut, self.limit = now, max(LEAST, self.limit * SHARE)
-
     def room(self, dense: bool, home: bool) -> bool:
         """Guards against jams, where all would come late: in flight from here is under a limit found by AIMD.
 
@@ -211,15 +210,22 @@
 
         Harm: one asked seldom looks silent while it sends long answers, so two pulls must be out.
         """
-        if len(self.out) < 2:
-            return
-        waiting = now - max(self.heard, next(iter(self.out)).sent)
         usual = MEMORY / max(self.answers.total(now), 1.0)
-        if waiting > min(max(GAPS * usual, 0.4), 2.0):
+        patience = min(max(GAPS * usual, QUIET[0]), QUIET[1])
+        if len(self.out) > 1 and now - max(self.heard, next(iter(self.out)).sent) > patience:
             for pull in self.out:
                 if not pull.doubted:
                     self.router.post(pull.dl, Doubt(pull, True))
 
+    def part(self) -> float:
+        """The least part of its link that it can be counted on for: it may have started lately."""
+        facts, parent = self.router.facts, self.role is Role.PARENT
+        if self.started is None or self.role is Role.ORIGIN:
+            return 1.0
+        floor = facts.parent_floor if parent else facts.cold_floor
+        age = max(self.router.now - self.started, 0.0)
+        return min(1.0, floor + (1 - floor) * age / (facts.parent_time if parent else facts.cold_time))
+
     def share_bad(self) -> float:
         good, bad = self.good.total(self.router.now), self.bad.total(self.router.now)
         return (bad + 0.5) / (good + bad + 1)
@@ -270,45 +276,43 @@
         dl, facts = note, self.router.facts
         edges = [c for c in self.listed(Role.EDGE) if c.zone == facts.zone]
         parents, origins = self.listed(Role.PARENT), self.listed(Role.ORIGIN)
+        well = 1 - sum(c.share_bad() for c in edges) / max(len(edges), 1)
         edge = dl.missed if dl.missed in edges and dl.missed not in dl.ruled_out else None
         if dl.type.at_origin and facts.direct:
             target = self.pick(dl, origins, 0.0)
-            plan = Plan(dl, target) if target else None
-        elif edge is None and (edge := self.pick(dl, edges, self.mean_good(edges))) and not dl.type.at_origin:
-            plan = Plan(dl, edge, rank=RANK if dl.level >= DEPTH else 0)
+            plan = Pull(dl, target) if target else None
+        elif edge is None and (edge := self.pick(dl, edges, well)) and self.looks(dl, edge):
+            plan = Pull(dl, edge, rank=RANK if dl.level >= DEPTH else 0)
         elif edge is not None and (source := self.source(dl, parents, origins)):
-            plan = (
-                Plan(dl, edge, source)
-                if dl.type.at_origin
-                else self.keep(self.staged(dl, edge, source, origins))
-            )
+            plan = self.keep(self.staged(dl, edge, source, origins))
         elif edge is not None and dl.type.grace and not dl.old:
             dl.old = True
-            plan = Plan(dl, edge, rank=RANK if dl.level >= DEPTH else 0, old=True)
+            plan = Pull(dl, edge, rank=RANK if dl.level >= DEPTH else 0, old=True)
         elif edge is None and facts.direct and origins and (target := self.pick(dl, parents, 0.0)):
-            plan = Plan(dl, target, origins[0])
+            plan = Pull(dl, target, origins[0])
         else:
             plan = None
         self.router.post(self.router.gate if plan else dl, plan or Stuck(None))
 
-    def mean_good(self, caches: list[Cache]) -> float:
-        return 1 - sum(c.share_bad() for c in caches) / max(len(caches), 1)
+    def looks(self, dl: "Download", edge: Cache) -> bool:
+        """A cold edge is filled without a look: it holds little, and each pull counts against its budget."""
+        return not dl.type.at_origin and edge.part() == 1
 
-    def staged(self, dl: "Download", edge: Cache, source: Cache, origins: list[Cache]) -> Plan:
+    def staged(self, dl: "Download", edge: Cache, source: Cache, origins: list[Cache]) -> Pull:
         """Guards a parent's copies from the origin's trouble: a strained parent gives what it holds first.
 
         What it lacks is then fetched under the origin's limit. Harm: one more round trip to the parent.
         """
-        if source.role is not Role.PARENT or not origins:
-            return Plan(dl, edge, source)
-        if dl.fetch:
-            return Plan(dl, edge, source, origin=origins[0])
-        return Plan(dl, edge, source, held=self.router.now - source.cut < MEMORY)
+        pull = Pull(dl, edge, source)
+        if source.role is Role.PARENT and origins and self.looks(dl, edge):
+            pull.origin = origins[0] if dl.fetch else None
+            pull.held = not dl.fetch and self.router.now - source.cut < MEMORY
+        return pull
 
-    def keep(self, plan: Plan) -> Plan:
+    def keep(self, pull: Pull) -> Pull:
         """The two tests: best value and lowest cache rate keep the copy, the others leave none."""
-        now, dl = self.router.now, plan.dl
-        tiers = {c.role for c in (plan.cache, plan.source) if c is not None and c.role in V_HOP}
+        now, dl = self.router.now, pull.dl
+        tiers = {c.role for c in pull.caches() if c.role in V_HOP and not dl.type.at_origin}
         admitted = [t for t in V_HOP if t in tiers and (t is Role.PARENT or dl.level >= DEPTH)]
         value = {t: ALPHA * dl.v_k + BETA * V_HOP[t] + GAMMA * dl.level for t in admitted}
         rate = {t: self.keeps[t].total(now) / max(self.fills[t].total(now), 1.0) for t in admitted}
@@ -316,9 +320,9 @@
         for tier in tiers:
             self.fills[tier].add(now)
             self.keeps[tier].add(now, tier in chosen)
-        return plan._replace(
-            rank=RANK if Role.EDGE in chosen else 0, leave=Role.PARENT in tiers and Role.PARENT not in chosen
-        )
+        pull.rank = RANK if Role.EDGE in chosen else 0
+        pull.leave = Role.PARENT in tiers and Role.PARENT not in chosen
+        return pull
 
     def source(self, dl: "Download", parents: list[Cache], origins: list[Cache]) -> Cache | None:
         """The hub's parent by hash, then any by hash; the origin where no parent does as well."""
@@ -327,10 +331,8 @@
         near = [c for c in parents if c.zone == self.router.facts.hub] or parents
         peers = 1 - min((c.share_bad() for c in parents + origins), default=0.0)
         picked = self.pick(dl, near, 1.0, sure=True) or self.pick(dl, parents, peers, sure=True)
-        if picked:
-            return picked
-        if any(c in dl.ruled_out for c in parents):
-            return self.pick(dl, origins, peers, sure=True)
+        if picked or any(c in dl.ruled_out for c in parents):
+            return picked or self.pick(dl, origins, peers, sure=True)
         return max((c for c in parents + origins if c not in dl.failed), key=Cache.draw, default=None)
 
     def pick(self, dl: "Download", caches: list[Cache], peers: float, sure: bool = False) -> Cache | None:
@@ -360,19 +362,18 @@
     def __init__(self, router: "Router") -> None:
         super().__init__(router)
         self.purges: dict[str | int, float] = {}
-        self.sent: dict[Cache, Buckets] = {}  # work put to a cache, over the window in which it could fall
+        window = router.facts.cold_window
+        self.sent: dict[Cache, Buckets] = defaultdict(lambda: Buckets(window))  # work put to each cache
         self.downloads, self.further = Buckets(), Buckets()
-        self.borne = dict.fromkeys(Role, 0.5)  # flows
+        self.borne = dict.fromkeys(Role, BORNE)
 
     def take(self, note: Any) -> None:
         match note:
             case face.Asked():
                 self.downloads.add(self.router.now)
-            case Plan():
-                if stuck := self.refusal(note):
-                    self.router.post(note.dl, stuck)
-                else:
-                    self.send(note)
+            case Pull():
+                stuck = self.refusal(note)
+                self.router.post(note.dl, stuck) if stuck else self.send(note)
             case face.Ended():
                 self.end(note)
             case Doubt(pull, _) if pull.result is None and self.router.facts.calls_off:
@@ -382,22 +383,22 @@
             case Download():
                 self.answer(note)
 
-    def refusal(self, plan: Plan) -> Stuck | None:
-        dl, now, facts = plan.dl, self.router.now, self.router.facts
+    def refusal(self, pull: Pull) -> Stuck | None:
+        dl, now, facts = pull.dl, self.router.now, self.router.facts
         spent = dl.further() and self.further.total(now) >= FURTHER * self.downloads.total(now) + 2
         over = dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls
-        if spent or over or not self.harmless(plan):
+        if spent or over or not self.harmless(pull):
             return Stuck(None)
-        for cache in dict.fromkeys([plan.at(), *plan.caches()]):
+        for cache in pull.told():
             home = cache is dl.missed or all(c.role is not cache.role for c in dl.ruled_out)
             free = dl.type.at_origin or cache.room(self.router.densest(dl.type), home)
             if not free or cache.phase is not Phase.READY or not self.bears(cache, dl):
                 return Stuck(cache)
         return None
 
-    def harmless(self, plan: Plan) -> bool:
+    def harmless(self, pull: Pull) -> bool:
         """No effect twice, and never two pulls out where a site forbids it."""
-        dl, now = plan.dl, self.router.now
+        dl, now = pull.dl, self.router.now
         if not self.router.facts.second_copies and any(p.result is None for p in dl.pulls):
             return False
         maybe = [p for p in dl.pulls if p.result not in NOT_RUN]
@@ -407,29 +408,17 @@
             return False
         if now >= maybe[0].sent + dl.type.window - 2 * self.router.facts.tick:
             return False
-        group = {Scope.ALL: lambda c: 0, Scope.ZONE: lambda c: c.zone, Scope.CELL: lambda c: c.cell}[
-            dl.type.scope
-        ]
-        return all(group(p.cache) == group(plan.cache) for p in maybe)
-
-    def part(self, cache: Cache) -> float:
-        """The least part of its link that a cache can be counted on for, by its age one window ago."""
-        now, facts = self.router.now, self.router.facts
-        if cache.started is None:
-            return 1.0
-        parent = cache.role is Role.PARENT
-        floor = facts.parent_floor if parent else facts.cold_floor
-        age = max(now - cache.started - facts.cold_window, 0.0)
-        return min(1.0, floor + (1 - floor) * age / (facts.parent_time if parent else facts.cold_time))
+        group = {Scope.ZONE: "zone", Scope.CELL: "cell"}.get(dl.type.scope)
+        return not group or all(getattr(p.cache, group) == getattr(pull.cache, group) for p in maybe)
 
     def bears(self, cache: Cache, dl: "Download") -> bool:
         """A cache that started lately gets this front's share of what it can bear, and no more."""
-        facts, part = self.router.facts, self.part(cache)
-        if part >= 1 or cache.role is Role.ORIGIN:
+        facts, part = self.router.facts, cache.part()
+        if part >= 1:
             return True
         multiple = facts.parent_multiple if cache.role is Role.PARENT else facts.cold_multiple
         most = multiple * part * self.capacity(cache) * facts.cold_window * CARE
-        return self.tally(cache).total(self.router.now) + self.router.mean_work(dl.type) <= most
+        return self.sent[cache].total(self.router.now) + self.router.mean_work(dl.type) <= most
 
     def capacity(self, cache: Cache) -> float:
         """This front's share of a cache's link in flows: as listed, else the most that warm ones bore."""
@@ -437,39 +426,32 @@
         if facts.weighted:
             return cache.weight / (facts.fronts if role is Role.PARENT else facts.zone_fronts)
         alike = [c for c in self.sent if c.role is role and c.phase is Phase.READY]
-        warm = [self.sent[c].total(now) / facts.cold_window for c in alike if self.part(c) >= 1]
+        warm = [self.sent[c].total(now) / facts.cold_window for c in alike if c.part() >= 1]
         if warm and 2 * len(warm) >= len(alike):
             self.borne[role] = max(self.borne[role], sum(warm) / len(warm))
         return self.borne[role]
 
-    def tally(self, cache: Cache) -> Buckets:
-        return self.sent.setdefault(cache, Buckets(self.router.facts.cold_window))
-
-    def send(self, plan: Plan) -> None:
-        dl, now = plan.dl, self.router.now
-        pull = Pull(plan, len(dl.pulls), now, self.router.mean_work(dl.type))
+    def send(self, pull: Pull) -> None:
+        dl, now = pull.dl, self.router.now
+        pull.number, pull.sent = len(dl.pulls), now
         self.further.add(now, dl.further())
+        for cache in pull.caches():
+            self.sent[cache].add(now, self.router.mean_work(dl.type))
+        join = self.router.facts.joins and not any(p.source for p in dl.pulls)
+        name, at, age = dl.asked.id, pull.cache.id, self.age(pull)
+        by = pull.source.id if pull.source else None if pull.cache.role is Role.ORIGIN else at
+        self.router.act(face.SendPull(name, at, by, pull.rank, age, 0.0, join, pull.held, pull.leave, False))
         dl.pulls.append(pull)
-        for cache in plan.caches():
-            self.tally(cache).add(now, pull.work)
-        source = plan.source or (plan.cache if plan.cache.role is not Role.ORIGIN else None)
-        join = self.router.facts.joins and not any(p.source for p in dl.pulls[:-1])
-        name, by, at = dl.asked.id, source and source.id, plan.cache.id
-        action = face.SendPull(
-            name, at, by, plan.rank, self.age(plan), 0.0, join, plan.held, plan.leave, False
-        )
-        self.router.act(action)
-        for cache in dict.fromkeys([pull.at, *pull.caches]):
-            self.router.post(cache, pull)
-        self.router.post(dl, pull)
-
-    def age(self, plan: Plan) -> float:
+        for actor in (*pull.told(), dl):
+            self.router.post(actor, pull)
+
+    def age(self, pull: Pull) -> float:
         """Oldest copy that will do: never one older than a purge that this front knows of."""
-        dl = plan.dl
-        most = dl.type.fresh + dl.type.grace if plan.old else dl.type.fresh
+        dl = pull.dl
+        most = dl.type.fresh + dl.type.grace if pull.old else dl.type.fresh
         past = [self.purges[name] for name in (dl.asked.key, dl.asked.group) if name in self.purges]
         if not past:
-            return most if plan.old else 0.0
+            return most if pull.old else 0.0
         since = max(self.router.now - max(past) - 0.001, 2e-6)
         return min(since, most) if dl.type.fresh else since
 
@@ -485,9 +467,8 @@
             return
         pull = dl.pulls[note.pull]
         pull.result, pull.hint, pull.took, pull.closed = note.result, note.hint, note.took, note.closed
-        for cache in dict.fromkeys([pull.at, *pull.caches]):
-            self.router.post(cache, pull)
-        self.router.post(dl, pull)
+        for actor in (*pull.told(), dl):
+            self.router.post(actor, pull)
 
     def answer(self, dl: "Download") -> None:
         """The one final answer that is not a fulfilled pull."""
@@ -497,7 +478,7 @@
         effect, scope, window = dl.type.effect, dl.type.scope, dl.type.window
         known = maybe and self.router.now < maybe[0].sent + window and scope is Scope.ALL
         promise = effect is Effect.RETRIABLE or not maybe or (effect is Effect.DEDUPED and known)
-        wait = min(self.router.facts.longest_wait, 0.5)
+        wait = min(self.router.facts.longest_wait, BACK)
         self.router.act(face.Throttle(dl.asked.id, wait) if promise else face.Abandon(dl.asked.id))
         self.router.post(dl, face.Left(dl.asked.id))
 
@@ -579,7 +560,7 @@
             work = self.asked.work or router.mean_work(self.type)
             late = pull.took > self.type.target + self.type.stretch * work
             if not (late and pull.doubted):
-                router.post(pull.at, Mark.LATE if late else Mark.GOOD)
+                router.post(pull.at(), Mark.LATE if late else Mark.GOOD)
         elif pull.result is Result.MISS:
             self.missed, self.fetch = pull.cache, pull.source is not None
         elif pull.result not in (Result.CALLED_OFF, Result.MOOT) and not pull.doubted:
@@ -594,7 +575,7 @@
     def blame(self, pull: Pull) -> Cache:
         """A look speaks for its edge, a fill for its source: the edge had answered the look before."""
         at_edge = pull.result in (Result.UNREACHED, Result.RESET) or pull.hint is Hint.NO_PLACE
-        guilty = pull.cache if at_edge else pull.at
+        guilty = pull.cache if at_edge else pull.at()
         self.router.post(guilty, Mark.BAD)
         self.failed |= {guilty, guilty if at_edge else pull.source or guilty}
         if guilty is self.missed:
