--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -107,11 +107,8 @@
         return self.origin or self.source or self.cache
 
     def caches(self) -> "list[Cache]":
-        """Those that the pull reaches."""
-        return [self.source, self.cache] if self.source else [self.cache]
-
-    def told(self) -> "list[Cache]":
-        return list(dict.fromkeys([self.at(), *self.caches()]))
+        """Those that it reaches or counts against."""
+        return list(dict.fromkeys(c for c in (self.origin, self.source, self.cache) if c))
 
 
 class Stuck(NamedTuple):
@@ -253,11 +250,8 @@
         self.levels: OrderedDict[str, int] = OrderedDict()
 
     def take(self, note: "Download") -> None:
-        name = note.name
-        level = self.levels.pop(name, 0)
-        if not (note.asked.repeat and level):
-            level = min(level + 1, KMAX)
-        self.levels[name] = level
+        level = self.levels.pop(note.name, 0)
+        self.levels[note.name] = level = min(max(level + (not note.asked.repeat), 1), KMAX)
         if len(self.levels) > TABLE:
             self.levels.popitem(last=False)
         self.router.post(note, Level(level, 1 - len(self.levels) / TABLE))
@@ -377,7 +371,7 @@
             case face.Ended():
                 self.end(note)
             case Doubt(pull, _) if pull.result is None and self.router.facts.calls_off:
-                self.router.act(face.CallOff(pull.dl.asked.id, pull.number))
+                self.router.actions.append(face.CallOff(pull.dl.asked.id, pull.number))
             case face.Purged():
                 self.purged(note)
             case Download():
@@ -389,7 +383,7 @@
         over = dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls
         if spent or over or not self.harmless(pull):
             return Stuck(None)
-        for cache in pull.told():
+        for cache in pull.caches():
             home = cache is dl.missed or all(c.role is not cache.role for c in dl.ruled_out)
             free = dl.type.at_origin or cache.room(self.router.densest(dl.type), home)
             if not free or cache.phase is not Phase.READY or not self.bears(cache, dl):
@@ -440,9 +434,11 @@
         join = self.router.facts.joins and not any(p.source for p in dl.pulls)
         name, at, age = dl.asked.id, pull.cache.id, self.age(pull)
         by = pull.source.id if pull.source else None if pull.cache.role is Role.ORIGIN else at
-        self.router.act(face.SendPull(name, at, by, pull.rank, age, 0.0, join, pull.held, pull.leave, False))
+        self.router.actions.append(
+            face.SendPull(name, at, by, pull.rank, age, 0.0, join, pull.held, pull.leave, False)
+        )
         dl.pulls.append(pull)
-        for actor in (*pull.told(), dl):
+        for actor in (*pull.caches(), dl):
             self.router.post(actor, pull)
 
     def age(self, pull: Pull) -> float:
@@ -467,7 +463,7 @@
             return
         pull = dl.pulls[note.pull]
         pull.result, pull.hint, pull.took, pull.closed = note.result, note.hint, note.took, note.closed
-        for actor in (*pull.told(), dl):
+        for actor in (*pull.caches(), dl):
             self.router.post(actor, pull)
 
     def answer(self, dl: "Download") -> None:
@@ -479,7 +475,7 @@
         known = maybe and self.router.now < maybe[0].sent + window and scope is Scope.ALL
         promise = effect is Effect.RETRIABLE or not maybe or (effect is Effect.DEDUPED and known)
         wait = min(self.router.facts.longest_wait, BACK)
-        self.router.act(face.Throttle(dl.asked.id, wait) if promise else face.Abandon(dl.asked.id))
+        self.router.actions.append(face.Throttle(dl.asked.id, wait) if promise else face.Abandon(dl.asked.id))
         self.router.post(dl, face.Left(dl.asked.id))
 
 
@@ -514,9 +510,8 @@
             case _ if self.closed:
                 pass
             case face.Asked():
-                margin = 2 * router.facts.tick
-                left = max(self.asked.until - router.now - margin, 0.0)
-                router.act(face.Wake(left, f"end:{self.asked.id}"))
+                left = max(self.asked.until - router.now - 2 * router.facts.tick, 0.0)
+                router.actions.append(face.Wake(left, f"end:{self.asked.id}"))
                 router.post(router.gate, note)
                 router.post(router.prefilter, self)
             case Level(level, v_k):
@@ -540,18 +535,17 @@
         """Past its patience: another pull beside it, or in its place where two may not be out."""
         again, pull.doubted = pull.doubted, True
         sound = not again and self.blame(pull).trusted(1.0)
-        if self.type.effect is Effect.NON_RETRIABLE:
-            return
-        if not firm and not again and (sound or not self.router.facts.second_copies):
+        two = self.router.facts.second_copies
+        if not firm and not again and (sound or not two):
             self.wait(pull)
-        elif not self.router.facts.second_copies:
-            self.router.post(self.router.gate, Doubt(pull, True))
-        else:
-            self.router.post(self.router.placement, self)
+        elif self.type.effect is not Effect.NON_RETRIABLE:
+            self.router.post(
+                *((self.router.placement, self) if two else (self.router.gate, Doubt(pull, True)))
+            )
 
     def wait(self, pull: Pull) -> None:
         delay = PATIENCE * self.router.expected(self, pull.source is not None)
-        self.router.act(face.Wake(delay, f"slow:{self.asked.id}:{pull.number}"))
+        self.router.actions.append(face.Wake(delay, f"slow:{self.asked.id}:{pull.number}"))
 
     def done(self, pull: Pull) -> None:
         router = self.router
@@ -567,9 +561,9 @@
             self.blame(pull)
         if pull.closed:
             self.close()
-        if not self.closed and all(p.doubted for p in self.out()):
+        elif not self.closed and all(p.doubted for p in self.out()):
             router.post(router.placement, self)
-        if self.closed and not self.out():
+        elif not self.out():
             router.downloads.pop(self.asked.id, None)
 
     def blame(self, pull: Pull) -> Cache:
@@ -583,11 +577,10 @@
         return guilty
 
     def close(self) -> None:
-        if not self.closed:
-            self.closed = True
-            if self.router.facts.calls_off:
-                for pull in self.out():
-                    self.router.act(face.CallOff(self.asked.id, pull.number))
+        if not self.closed and self.router.facts.calls_off:
+            for pull in self.out():
+                self.router.actions.append(face.CallOff(self.asked.id, pull.number))
+        self.closed = True
         if not self.out():
             self.router.downloads.pop(self.asked.id, None)
 
@@ -611,16 +604,13 @@
         actor.inbox.append(note)
         self.busy.append(actor)
 
-    def act(self, action: face.Action) -> None:
-        self.actions.append(action)
-
     def handle(self, now: float, events: Iterable[face.Event]) -> list[face.Action]:
         self.now, self.actions = now, []
         if not self.swept:
             self.swept = True
-            self.act(face.Wake(SWEEP, "sweep"))
+            self.actions.append(face.Wake(SWEEP, "sweep"))
             if self.facts.subscribes:
-                self.act(face.Watch())
+                self.actions.append(face.Watch())
         for event in events:
             for actor, note in self.notes(event):
                 self.post(actor, note)
@@ -642,10 +632,10 @@
                 if event.id in self.downloads:
                     yield self.downloads[event.id], event
             case face.Woke("sweep"):
-                self.act(face.Wake(SWEEP, "sweep"))
+                self.actions.append(face.Wake(SWEEP, "sweep"))
                 yield from ((cache, Mark.SWEEP) for cache in self.caches.values())
             case face.Woke("watch"):
-                self.act(face.Watch())
+                self.actions.append(face.Watch())
             case face.Woke(token):
                 why, name, *pull = token.split(":")
                 dl = self.downloads.get(name)
@@ -655,7 +645,7 @@
     def listed(self, event: face.Listed) -> Iterator[tuple[Actor, Any]]:
         if event.scale is Scale.FAILED:
             if self.facts.subscribes:
-                self.act(face.Wake(self.facts.ask_within / 20, "watch"))
+                self.actions.append(face.Wake(self.facts.ask_within / 20, "watch"))
             return
         named = {entry.id for entry in event.entries}
         for entry in event.entries:
