--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -30,8 +30,10 @@
 LEAST, MOST = 1.0, 64.0  # bounds of a cache's limit on what is in flight
 SPREAD = 2.0  # first limit, over this front's share of the cache's link
 START = 12.0  # first limit where links are not told
+SPILL = 0.25  # part of a limit open to what the hash meant for another cache
 CROWD, CROWD_SPAN = 0.1, 3.0  # share of late answers, and seconds, that tell a crowd from large objects
 REST = 0.1  # seconds between two cuts of a limit
+HEADROOM = 2.0  # how far the content type with most benefit for its work may pass a limit
 PATIENCE = 2.5  # expected times that a pull may take before it is doubted
 GAPS = 8.0  # usual gaps between answers after which a cache counts as silent
 QUIET = 0.4, 2.0  # least and most seconds of that
@@ -192,12 +194,13 @@
             case Mark.SWEEP:
                 self.listen(now)
 
-    def room(self) -> bool:
+    def room(self, dense: bool, home: bool) -> bool:
         """Guards against jams, where all would come late: in flight from here is under a limit found by AIMD.
 
         Harm: a cache that is late for another cause than its load gets less than it could bear.
         """
-        return len(self.out) + THROUGH * self.through < self.limit
+        load = len(self.out) + THROUGH * self.through
+        return load < self.limit * (HEADROOM if dense else 1.0) * (1.0 if home else SPILL)
 
     def listen(self, now: float) -> None:
         """Guards against a cache that takes pulls and answers none: dead, cut off or standing still.
@@ -381,7 +384,8 @@
         if spent or over or not self.harmless(pull):
             return Stuck(None)
         for cache in pull.caches():
-            free = dl.type.at_origin or cache.room()
+            home = cache is dl.missed or all(c.role is not cache.role for c in dl.ruled_out)
+            free = dl.type.at_origin or cache.room(self.router.densest(dl.type), home)
             if not free or cache.phase is not Phase.READY or not self.bears(cache, dl):
                 return Stuck(cache)
         return None
@@ -665,6 +669,11 @@
         total, count = self.mean[kind.name]
         return (total + 4 * kind.target) / (count + 4)
 
+    def densest(self, kind: face.ContentType) -> bool:
+        """Whether no content type earns more benefit for its work."""
+        density = {k.name: k.benefit / self.mean_work(k) for k in self.facts.types.values()}
+        return density[kind.name] >= max(density.values())
+
     def expected(self, dl: Download, fill: bool) -> float:
         """How long such a download takes these days."""
         times, scale = (b.total(self.now) for b in self.pace[dl.type.name, fill])
