--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -30,18 +30,16 @@
 LEAST, MOST = 1.0, 64.0  # bounds of a cache's limit on what is in flight
 SPREAD = 2.0  # first limit, over this front's share of the cache's link
 START = 12.0  # first limit where links are not told
-SPILL = 0.25  # part of a limit open to what the hash meant for another cache
+SPILL = 0.5  # part of a limit open to what the hash meant for another cache
 CROWD, CROWD_SPAN = 0.1, 3.0  # share of late answers, and seconds, that tell a crowd from large objects
 REST = 0.1  # seconds between two cuts of a limit
-HEADROOM = 2.0  # how far the content type with most benefit for its work may pass a limit
+HEADROOM = 1.3  # how far the content type with most benefit for its work may pass a limit
 PATIENCE = 2.5  # expected times that a pull may take before it is doubted
-GAPS = 8.0  # usual gaps between answers after which a cache counts as silent
-QUIET = 0.4, 2.0  # least and most seconds of that
-SWEEP = 0.2  # seconds between looks for silent caches
 FURTHER = 0.15  # further pulls for each download, in MEMORY
 THROUGH = 0.5  # what a fill that passes an edge counts there, a look counting one
 BACK = 0.5  # seconds after which a throttled client may come back
 CARE = 0.75  # part of a cold cache's budget that is used
+PRIOR = 4  # downloads that a content type's target time counts for in its mean work
 BORNE = 0.5  # flows that a cache is held to bear before any was seen to bear more
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
 
@@ -118,16 +116,15 @@
 
 
 class Doubt(NamedTuple):
-    """The pull takes too long; `firm` where waiting on would be of no use."""
+    """The pull takes too long."""
 
     pull: "Pull"
-    firm: bool
 
 
 class Mark(Enum):
-    """What a cache is told of its own answers, or that it is time to listen."""
+    """What a cache is told of its own answers."""
 
-    GOOD, LATE, BAD, SWEEP = range(4)
+    GOOD, LATE, BAD = range(3)
 
 
 class Actor:
@@ -151,10 +148,10 @@
         self.reset()
 
     def reset(self) -> None:
-        self.good, self.bad, self.answers = Buckets(), Buckets(), Buckets()
+        self.good, self.bad = Buckets(), Buckets()
         self.out: dict[Pull, None] = {}
         self.through, self.timely, self.late = 0, Buckets(CROWD_SPAN), Buckets(CROWD_SPAN)
-        self.heard, self.failing, self.cut = -math.inf, False, -math.inf
+        self.failing, self.cut = False, -math.inf
         facts = self.router.facts
         told = facts.weighted and self.role is not Role.ORIGIN
         self.limit = max(LEAST, SPREAD * self.weight / facts.zone_fronts) if told else START
@@ -173,9 +170,6 @@
                 self.out[note] = None
             case Pull():
                 self.out.pop(note, None)
-                if note.result not in (Result.TIMED_OUT, Result.CALLED_OFF, Result.UNREACHED, Result.MOOT):
-                    self.heard = now
-                    self.answers.add(now)
             case Mark.GOOD:
                 self.good.add(now)
                 self.timely.add(now)
@@ -191,8 +185,6 @@
                 crowd = late > 1 + CROWD * (late + self.timely.total(now))
                 if crowd and now >= self.cut + REST:
                     self.cut, self.limit = now, max(LEAST, self.limit * SHARE)
-            case Mark.SWEEP:
-                self.listen(now)
 
     def room(self, dense: bool, home: bool) -> bool:
         """Guards against jams, where all would come late: in flight from here is under a limit found by AIMD.
@@ -202,18 +194,6 @@
         load = len(self.out) + THROUGH * self.through
         return load < self.limit * (HEADROOM if dense else 1.0) * (1.0 if home else SPILL)
 
-    def listen(self, now: float) -> None:
-        """Guards against a cache that takes pulls and answers none: dead, cut off or standing still.
-
-        Harm: one asked seldom looks silent while it sends long answers, so two pulls must be out.
-        """
-        usual = MEMORY / max(self.answers.total(now), 1.0)
-        patience = min(max(GAPS * usual, QUIET[0]), QUIET[1])
-        if len(self.out) > 1 and now - max(self.heard, next(iter(self.out)).sent) > patience:
-            for pull in self.out:
-                if not pull.doubted:
-                    self.router.post(pull.dl, Doubt(pull, True))
-
     def part(self) -> float:
         """The least part of its link that it can be counted on for: it may have started lately."""
         facts, parent = self.router.facts, self.role is Role.PARENT
@@ -370,7 +350,7 @@
                 self.router.post(note.dl, stuck) if stuck else self.send(note)
             case face.Ended():
                 self.end(note)
-            case Doubt(pull, _) if pull.result is None and self.router.facts.calls_off:
+            case Doubt(pull) if pull.result is None and self.router.facts.calls_off:
                 self.router.actions.append(face.CallOff(pull.dl.asked.id, pull.number))
             case face.Purged():
                 self.purged(note)
@@ -526,22 +506,24 @@
                 router.post(router.gate, self)
             case face.Began():
                 self.closed = True
-            case Doubt(pull, firm) if pull.result is None:
-                self.doubt(pull, firm)
+            case Doubt(pull) if pull.result is None:
+                self.doubt(pull)
             case face.Woke():
                 router.post(router.gate, self)
 
-    def doubt(self, pull: Pull, firm: bool) -> None:
-        """Past its patience: another pull beside it, or in its place where two may not be out."""
+    def doubt(self, pull: Pull) -> None:
+        """Guards against pulls that do not end: one more beside it, or in its place where two may not be out.
+
+        Most slow pulls are large objects, so a sound cache gets a second wait. Should also cover standstills
+        and cut lines. Harm: the first downloads that a silent cache holds are late.
+        """
         again, pull.doubted = pull.doubted, True
         sound = not again and self.blame(pull).trusted(1.0)
         two = self.router.facts.second_copies
-        if not firm and not again and (sound or not two):
+        if not again and (sound or not two):
             self.wait(pull)
         elif self.type.effect is not Effect.NON_RETRIABLE:
-            self.router.post(
-                *((self.router.placement, self) if two else (self.router.gate, Doubt(pull, True)))
-            )
+            self.router.post(*((self.router.placement, self) if two else (self.router.gate, Doubt(pull))))
 
     def wait(self, pull: Pull) -> None:
         delay = PATIENCE * self.router.expected(self, pull.source is not None)
@@ -598,7 +580,7 @@
         self.mean = dict.fromkeys(facts.types, (0.0, 0))
         self.busy: deque[Actor] = deque()
         self.actions: list[face.Action] = []
-        self.swept = False
+        self.watched = False
 
     def post(self, actor: Actor, note: Any) -> None:
         actor.inbox.append(note)
@@ -606,11 +588,9 @@
 
     def handle(self, now: float, events: Iterable[face.Event]) -> list[face.Action]:
         self.now, self.actions = now, []
-        if not self.swept:
-            self.swept = True
-            self.actions.append(face.Wake(SWEEP, "sweep"))
-            if self.facts.subscribes:
-                self.actions.append(face.Watch())
+        if self.facts.subscribes and not self.watched:
+            self.watched = True
+            self.actions.append(face.Watch())
         for event in events:
             for actor, note in self.notes(event):
                 self.post(actor, note)
@@ -631,16 +611,13 @@
             case face.Left() | face.Began():
                 if event.id in self.downloads:
                     yield self.downloads[event.id], event
-            case face.Woke("sweep"):
-                self.actions.append(face.Wake(SWEEP, "sweep"))
-                yield from ((cache, Mark.SWEEP) for cache in self.caches.values())
             case face.Woke("watch"):
                 self.actions.append(face.Watch())
             case face.Woke(token):
                 why, name, *pull = token.split(":")
                 dl = self.downloads.get(name)
                 if dl is not None:
-                    yield dl, (Doubt(dl.pulls[int(pull[0])], False) if why == "slow" else event)
+                    yield dl, (Doubt(dl.pulls[int(pull[0])]) if why == "slow" else event)
 
     def listed(self, event: face.Listed) -> Iterator[tuple[Actor, Any]]:
         if event.scale is Scale.FAILED:
@@ -667,7 +644,7 @@
     def mean_work(self, kind: face.ContentType) -> float:
         """Mean sending time of a content type, as seen so far and at first as its target time."""
         total, count = self.mean[kind.name]
-        return (total + 4 * kind.target) / (count + 4)
+        return (total + PRIOR * kind.target) / (count + PRIOR)
 
     def densest(self, kind: face.ContentType) -> bool:
         """Whether no content type earns more benefit for its work."""
