Fetch what a strained hub parent lacks by the hash over all parents

The design's next parent by a hash over all listed ones: fetches of all hubs then meet at one parent. Harm: longer ways while a parent is strained.

--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -302,7 +302,7 @@
         """The hub's parent by hash, then any by hash; the origin where no parent does as well."""
         if dl.fetch and any(c in dl.ruled_out for c in origins):
             return None
-        near = [c for c in parents if c.zone == self.router.facts.hub] or parents
+        near = [c for c in parents if c.zone == self.router.facts.hub and not dl.fetch] or parents
         peers = 1 - min((c.share_bad() for c in parents + origins), default=0.0)
         picked = self.pick(dl, near, 1.0, sure=True) or self.pick(dl, parents, peers, sure=True)
         if picked or any(c in dl.ruled_out for c in parents):
