--- a/tests/fronts.py
+++ b/tests/fronts.py
@@ -88,9 +88,9 @@
     def listed(self, *entries, scale=Scale.CHANGES, now=None):
         self.at(self.now if now is None else now, face.Listed(scale, entries))
 
-    def ask(self, name, key="k", now=None, type="photo", until=None, **changes):
+    def ask(self, name, key="k", now=None, type="photo", until=None, repeat=False):
         now = self.now if now is None else now
-        self.at(now, face.Asked(name, key, 0, 3, type, 0.0, False, until or now + 6.0))
+        self.at(now, face.Asked(name, key, 0, 3, type, 0.0, repeat, until or now + 6.0))
 
     def end(self, name, result, now=None, hint=Hint.NONE, pull=None, took=0.01):
         pull = self.pulls[name] - 1 if pull is None else pull
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,6 +4,7 @@
 
 from weldbend import interface as face
 from weldbend.interface import Effect, Phase, Result, Role, Scope
+from weldbend.logic import Pull
 
 
 def test_second_request_keeps_at_the_edge_and_leaves_no_copy():
@@ -98,6 +99,11 @@
     for key in "klmn":
         front.ask(key, key, now=1)
         front.end(key, Result.MISS)
+    dl = front.router.downloads["k"]
+    front.router.post(front.router.gate, Pull(dl, front.router.caches[1]))
+    front.at(1.1, face.Left("nobody"))
+    front.router.post(front.router.gate, Pull(dl, front.router.caches[2], front.router.caches[11]))
+    front.at(1.2, face.Left("nobody"))
     front.shows("""
         1.00 k: 2 look rank 0
         1.00 k: 2 fill from 12 rank 0
@@ -107,12 +113,14 @@
         1.00 m: 2 fill from 12 rank 0
         1.00 n: 2 look rank 0
         1.00 n: 2 fill from 12 rank 0
+        1.10 k: 2 fill from 12 rank 0
+        1.20 k: 2 fill from 12 rank 0
     """)
 
 
 def test_cold_cache_gets_its_share_and_no_more():
     front = Front((entry(1, started=0.0), CACHES[-1]))
-    for n in range(8):
+    for n in range(10):
         front.ask(f"d{n}", f"k{n}", now=1 + n / 100)
     front.shows("""
         1.00 d0: 1 fill from 21 rank 0
@@ -123,6 +131,44 @@
         1.05 d5: 1 fill from 21 rank 0
         1.06 d6: 1 fill from 21 rank 0
         1.07 d7: 1 fill from 21 rank 0
+        1.08 d8: throttled, wait 0.5
+        1.09 d9: throttled, wait 0.5
+    """)
+
+
+def test_mass_restart_goes_by_what_warm_caches_bore():
+    front = Front((entry(1), entry(2), CACHES[-1]), weighted=False)
+    for n in range(60):
+        front.ask(f"d{n}", f"k{n}", now=1 + n / 30)
+        front.end(f"d{n}", Result.FULFILLED, took=0.2)
+    front.listed(entry(1, started=3.0), now=3.0)
+    front.ask("one-cold", "k0", now=3.0)
+    front.listed(entry(2, started=3.1), now=3.1)
+    front.trace.clear()
+    for n in range(10):
+        front.ask(f"e{n}", f"k{n}", now=5.9 + n / 100)
+    front.shows("""
+        5.90 e0: 2 fill from 21 rank 2
+        5.91 e1: 2 fill from 21 rank 2
+        5.92 e2: 1 fill from 21 rank 2
+        5.93 e3: 1 fill from 21 rank 2
+        5.94 e4: throttled, wait 0.5
+        5.95 e5: throttled, wait 0.5
+        5.96 e6: throttled, wait 0.5
+        5.97 e7: 1 fill from 21 rank 2
+        5.98 e8: throttled, wait 0.5
+        5.99 e9: throttled, wait 0.5
+    """)
+
+
+def test_marked_repeat_is_no_second_wish():
+    front = Front()
+    front.fill("a", now=1)
+    front.ask("b", now=2, repeat=True)
+    front.shows("""
+        1.00 a: 1 look rank 0
+        1.00 a: 1 fill from 11 rank 0
+        2.00 b: 1 look rank 0
     """)
 
 
