--- /dev/null
+++ b/weldbend/buffers/ring.py
@@ -0,0 +1,73 @@
+"""A bounded ring of bytes that grows towards its bound when used and gives its memory back when empty."""
+
+from weldbend.checks import must
+
+SMALL = 4096
+
+
+class Ring:
+    __slots__ = ("bound", "data", "head", "size")
+
+    def __init__(self, bound: int) -> None:
+        self.bound, self.head, self.size = bound, 0, 0
+        self.data = bytearray(min(SMALL, bound))
+
+    def __len__(self) -> int:
+        return self.size
+
+    def free(self) -> int:
+        return self.bound - self.size
+
+    def write(self, data: bytes | memoryview) -> int:
+        """Take as much as fits; returns how much that was."""
+        count = min(len(data), self.free())
+        if self.size + count > len(self.data):
+            self.grow(self.size + count)
+        tail = (self.head + self.size) % len(self.data)
+        first = min(count, len(self.data) - tail)
+        self.data[tail : tail + first] = data[:first]
+        self.data[: count - first] = data[first:count]
+        self.size += count
+        return count
+
+    def grow(self, need: int) -> None:
+        room = len(self.data)
+        while room < need:
+            room *= 2
+        kept = self.peek(self.size)
+        self.data = bytearray(min(room, self.bound))
+        self.data[: len(kept)] = kept
+        self.head = 0
+
+    def peek(self, count: int, start: int = 0) -> bytes:
+        """`count` bytes from `start`, left where they are."""
+        must(start + count <= self.size, "a ring is read only as far as it is filled")
+        begin = (self.head + start) % len(self.data)
+        first = self.data[begin : begin + count]
+        return bytes(first) + bytes(self.data[: count - len(first)])
+
+    def skip(self, count: int) -> None:
+        must(count <= self.size, "a ring is emptied only as far as it is filled")
+        self.head = (self.head + count) % len(self.data)
+        self.size -= count
+        if not self.size:
+            self.head = 0
+            if len(self.data) > SMALL:
+                self.data = bytearray(min(SMALL, self.bound))
+
+    def read(self, count: int) -> bytes:
+        data = self.peek(count)
+        self.skip(count)
+        return data
+
+    def find(self, mark: bytes, start: int, limit: int) -> int:
+        """Where `mark` begins, looked for from `start` in the first `limit` bytes; -1 if it is not there."""
+        end = min(self.size, limit)
+        if end <= start:
+            return -1
+        straight = len(self.data) - self.head
+        if end <= straight:
+            at = self.data.find(mark, self.head + start, self.head + end)
+            return at - self.head if at >= 0 else -1
+        at = self.peek(end - start, start).find(mark)
+        return at + start if at >= 0 else -1
--- /dev/null
+++ b/weldbend/bus/events.py
@@ -0,0 +1,94 @@
+"""The bus's events, read from JSON: the list of caches and purges, still in the bus's own units."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+STATES = ("up", "draining", "removed")
+
+
+class BadEvent(Exception):
+    """Something that is no event of the bus."""
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    uid: str
+    host: str
+    port: int
+    zone: str
+    kind: str
+    cell: int
+    state: str
+    weight: float
+    booted: float  # Unix seconds; 0 for long ago
+
+
+@dataclass(frozen=True, slots=True)
+class Topology:
+    whole: bool
+    targets: tuple[Target, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Ban:
+    key: str | None
+    group: int
+    at: float  # Unix seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Numbered:
+    offset: int
+    event: Topology | Ban
+
+
+def read_event(text: str) -> Numbered:
+    try:
+        return event(json.loads(text))
+    except (ValueError, RecursionError):
+        raise BadEvent(f"no JSON: {text[:80]!r}") from None
+
+
+def event(raw: Any) -> Numbered:
+    """One event as the bus or the configuration holds it."""
+    try:
+        offset = int(raw["offset"])
+        if "topology" in raw:
+            held = raw["topology"]
+            return Numbered(offset, Topology(bool(held["all"]), tuple(map(target, held["targets"]))))
+        held = raw["ban"]
+        key = held.get("url")
+        if key is not None and not isinstance(key, str):
+            raise BadEvent(f"ban of {key!r}")
+        return Numbered(
+            offset, Ban(key, int(held.get("tag", 0)) if key else int(held["tag"]), held["ts"] / 1000)
+        )
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as wrong:
+        raise BadEvent(f"{type(wrong).__name__} {wrong} in {str(raw)[:80]!r}") from None
+
+
+def target(raw: Mapping[str, Any]) -> Target:
+    host, _, port = raw["endpoint"].rpartition(":")
+    if raw["state"] not in STATES or not 0 < int(port) < 65536 or not isinstance(raw["uid"], str):
+        raise BadEvent(f"target {str(raw)[:80]!r}")
+    return Target(
+        uid=raw["uid"],
+        host=host,
+        port=int(port),
+        zone=raw["az"],
+        kind=raw["model"],
+        cell=int(raw.get("pod_group") or 0),
+        state=raw["state"],
+        weight=float(raw.get("capacity_hint") or 0),
+        booted=float(raw.get("boot_ms") or 0) / 1000,
+    )
+
+
+def known(raw: Any) -> list[Numbered]:
+    """The events that the configuration holds, and with the last its offset."""
+    try:
+        return [event(item) for item in raw["batch"]]
+    except (KeyError, TypeError) as wrong:
+        raise BadEvent(f"known: {wrong}") from None
--- /dev/null
+++ b/weldbend/caches/connection.py
@@ -0,0 +1,190 @@
+"""One connection to a cache, a parent or the origin, and the pulls that are out on it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Any, Protocol
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Protocol as Connection
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from weldbend.buffers.ring import Ring
+from weldbend.checks import must
+from weldbend.lines import answers, commands
+from weldbend.lines.answers import Answer, BadAnswer, Parser
+
+CHUNK = 1 << 16  # the most that one read of a socket brings
+IN = answers.LONGEST_BODY + answers.LONGEST_LINE + 2 * CHUNK
+MOST_UNDONE = 1024  # names of pulls given up that a connection remembers
+OUT = 1 << 17  # holds the longest command whole, and what comes behind it
+
+
+class Lost(Enum):
+    """How a pull ended without an answer: what that proves is the decisions' business."""
+
+    UNREACHED = auto()  # no connection came up in time
+    RESET = auto()  # the connection ended after the first byte had gone out
+    WITHDRAWN = auto()  # taken back before any byte went out
+
+
+@dataclass(eq=False, slots=True)
+class Pull:
+    """One command to a cache, whose end is reported once: by an answer or by how it was lost."""
+
+    name: str
+    cache: int
+    source: int | None
+    key: str
+    group: int
+    command: Callable[[], bytes]  # written out when the first byte goes
+    ended: Callable[["Pull", Answer | Lost], None]
+    connection: "CacheConnection | None" = None
+    sent: float = 0.0
+    over: bool = False
+
+    def end(self, how: Answer | Lost) -> None:
+        if not self.over:
+            self.over = True
+            self.ended(self, how)
+
+
+class Owner(Protocol):
+    """Who keeps the connections of one cache."""
+
+    streams: int
+
+    def came(self, connection: "CacheConnection") -> None: ...
+    def room(self) -> None: ...
+    def went(self, connection: "CacheConnection") -> None: ...
+    def unknown(self, answer: Answer) -> None: ...
+
+
+@implementer(IPushProducer)
+@dataclass(eq=False)
+class CacheConnection(Connection):
+    owner: Owner
+    now: Callable[[], float]
+    incoming: Ring = field(default_factory=lambda: Ring(IN))
+    going: Ring = field(default_factory=lambda: Ring(OUT))
+    out: dict[str, Pull] = field(default_factory=dict)
+    undone: dict[str, None] = field(default_factory=dict)  # names whose answer may still be on its way
+    transport: Any = None
+    paused = resting = retired = lost = False
+    used = heard = 0.0
+
+    def connectionMade(self) -> None:
+        self.parser = Parser(self.incoming)
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.used = self.heard = self.now()
+        self.owner.came(self)
+
+    def takes(self, name: str) -> bool:
+        """Whether a pull's first byte would go out at once, and its answer could be told from others."""
+        free = not (self.paused or self.going or self.retired or self.lost)
+        return (
+            free and len(self.out) < self.owner.streams and name not in self.out and name not in self.undone
+        )
+
+    def send(self, pull: Pull) -> None:
+        pull.connection, pull.sent = self, self.now()
+        self.out[pull.name] = pull
+        self.write(pull.command())
+
+    def undo(self, pull: Pull) -> None:
+        """Give a pull up; a connection on which nothing was heard since it went out takes no more."""
+        if self.out.pop(pull.name, None) is not pull or self.lost:
+            return
+        self.undone[pull.name] = None
+        if len(self.undone) > MOST_UNDONE:
+            del self.undone[next(iter(self.undone))]
+        self.write(commands.undo(pull.name))
+        self.retired = self.retired or self.heard <= pull.sent
+        self.settle()
+
+    def write(self, command: bytes) -> None:
+        self.used = self.now()
+        must(self.going.write(command) == len(command), "a cache's ring has room for a command")
+        self.pump()
+
+    def pump(self) -> None:
+        while self.going and not self.paused:
+            self.transport.write(self.going.read(min(len(self.going), CHUNK)))
+
+    def pauseProducing(self) -> None:
+        self.paused = True
+
+    def resumeProducing(self) -> None:
+        self.paused = False
+        self.pump()
+        self.owner.room()
+
+    def stopProducing(self) -> None:
+        self.paused = True
+
+    def dataReceived(self, data: bytes) -> None:
+        self.heard = self.now()
+        must(self.incoming.write(data) == len(data), "a cache's ring has room for a chunk")
+        if not self.resting:
+            self.read()
+
+    def read(self) -> None:
+        try:
+            while not self.resting and (answer := self.parser.next()):
+                self.answered(answer)
+        except BadAnswer:  # nothing that follows can be trusted
+            self.drop()
+
+    def rest(self, resting: bool) -> None:
+        """Stop or go on reading, for as long as what was read has nowhere to go."""
+        if resting is self.resting or self.lost:
+            return
+        self.resting = resting
+        (self.transport.pauseProducing if resting else self.transport.resumeProducing)()
+        if not resting:
+            self.read()
+
+    def answered(self, answer: Answer) -> None:
+        pull = self.out.pop(answer.name, None)
+        if pull:
+            pull.end(answer)
+        elif answer.name in self.undone:
+            del self.undone[answer.name]
+        else:
+            self.owner.unknown(answer)
+        self.used = self.now()
+        self.settle()
+
+    def settle(self) -> None:
+        if self.retired and not self.out:
+            self.close()
+        else:
+            self.owner.room()
+
+    def retire(self) -> None:
+        """Take no more pulls, and close once those out have ended."""
+        self.retired = True
+        if not self.out:
+            self.close()
+
+    def close(self) -> None:
+        if not self.lost:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
+    def drop(self) -> None:
+        """End it at once, with all that is out on it."""
+        if not self.lost:
+            self.transport.abortConnection()
+            self.connectionLost()
+
+    def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
+        if self.lost:
+            return
+        self.lost = True
+        self.owner.went(self)
+        pulls, self.out = list(self.out.values()), {}
+        for pull in pulls:
+            pull.end(Lost.RESET)
--- /dev/null
+++ b/weldbend/caches/pool.py
@@ -0,0 +1,233 @@
+"""The connections to each listed cache, and the pulls and probes that go over them.
+
+A pull goes out at once on a connection with a free stream, or waits for one, at most for the time
+in which a connection must come up. While it waits it may go stale: it is withdrawn when the list or
+a purge says anything about its cache, its source or its object, and whoever sent it decides anew.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from twisted.internet.interfaces import IAddress, IConnector
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from weldbend.caches.connection import CacheConnection, Lost, Pull
+from weldbend.checks import must
+from weldbend.lines import commands
+from weldbend.lines.answers import Answer
+
+
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Timers(Protocol):
+    def now(self) -> float: ...
+    def after(self, delay: float, call: Callable[[], object]) -> Timer: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the site and the machine allow."""
+
+    streams: int
+    idle: float
+    dial: float
+    descriptors: int
+
+
+class Dial(ClientFactory):
+    """One connection on its way up."""
+
+    noisy = False
+
+    def __init__(self, lane: "Lane") -> None:
+        self.lane = lane
+
+    def buildProtocol(self, addr: IAddress) -> CacheConnection:
+        return CacheConnection(self.lane, self.lane.pool.timers.now)
+
+    def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
+        self.lane.failed(connector)
+
+
+class Lane:
+    """All that goes to one cache."""
+
+    def __init__(self, pool: "Pool", cache: int, host: str, port: int, booted: float) -> None:
+        self.pool, self.cache, self.host, self.port, self.booted = pool, cache, host, port, booted
+        self.streams = pool.bounds.streams
+        self.connections: list[CacheConnection] = []
+        self.dials: dict[IConnector, None] = {}
+        self.waiting: deque[Pull] = deque()
+        self.closed = False
+
+    def send(self, pull: Pull) -> None:
+        if not self.place(pull):
+            self.waiting.append(pull)
+            self.pool.timers.after(self.pool.bounds.dial, lambda: self.late(pull))
+            self.dial()
+
+    def place(self, pull: Pull) -> bool:
+        fit = [c for c in self.connections if c.takes(pull.name) and not self.stale(c)]
+        if fit and not self.closed:
+            min(fit, key=lambda c: len(c.out)).send(pull)
+        return bool(fit) and not self.closed
+
+    def stale(self, connection: CacheConnection) -> bool:
+        """One that its cache is about to close for idleness: a send could cross the close."""
+        bounds = self.pool.bounds
+        idle = not connection.out and self.pool.timers.now() > connection.used + bounds.idle - bounds.dial
+        if idle:
+            connection.retire()
+        return idle
+
+    def dial(self) -> None:
+        """Have as many connections on their way as those who wait need."""
+        while self.waiting and len(self.dials) * self.streams < len(self.waiting) and not self.closed:
+            if self.pool.connections() >= self.pool.bounds.descriptors:
+                break
+            dial = Dial(self)
+            connector = self.pool.reactor.connectTCP(self.host, self.port, dial, self.pool.bounds.dial)
+            self.dials[connector] = None
+
+    def came(self, connection: CacheConnection) -> None:
+        connector = connection.transport.connector
+        self.dials.pop(connector, None)
+        if self.closed:
+            connection.close()
+            return
+        self.connections.append(connection)
+        connection.rest(self.pool.resting)
+        self.room()
+
+    def failed(self, connector: IConnector) -> None:
+        """A refused or silent dial speaks for all who wait for it: no connection can be made."""
+        self.dials.pop(connector, None)
+        waiting, self.waiting = self.waiting, deque()
+        for pull in waiting:
+            pull.end(Lost.UNREACHED)
+
+    def late(self, pull: Pull) -> None:
+        if pull in self.waiting:
+            self.waiting.remove(pull)
+            pull.end(Lost.UNREACHED)
+
+    def room(self) -> None:
+        """Let those who wait go, in their order."""
+        while self.waiting and self.place(self.waiting[0]):
+            self.waiting.popleft()
+
+    def went(self, connection: CacheConnection) -> None:
+        if connection in self.connections:
+            self.connections.remove(connection)
+        self.dial()
+
+    def unknown(self, answer: Answer) -> None:
+        if not self.pool.probed(self.cache, answer):
+            must(False, "a cache answers only what it was asked")
+
+    def withdraw(self, stale: Callable[[Pull], bool]) -> None:
+        gone = [pull for pull in self.waiting if stale(pull)]
+        self.waiting = deque(pull for pull in self.waiting if pull not in gone)
+        for pull in gone:
+            pull.end(Lost.WITHDRAWN)
+
+    def close(self, silent: bool) -> None:
+        """Its cache has gone, or come back as another process: nothing more goes here."""
+        self.closed = True
+        for connector in list(self.dials):
+            connector.disconnect()
+        self.withdraw(lambda _: True)
+        for connection in list(self.connections):
+            (connection.drop if silent else connection.retire)()
+
+
+class Pool:
+    def __init__(
+        self, reactor: Any, timers: Timers, bounds: Bounds, probed: Callable[[int, bool, Answer], None]
+    ) -> None:
+        self.reactor, self.timers, self.bounds, self.tell_probed = reactor, timers, bounds, probed
+        self.lanes: dict[int, Lane] = {}
+        self.probes: dict[str, int] = {}
+        self.resting = False
+
+    def listed(self, cache: int, host: str, port: int, booted: float, usable: bool) -> None:
+        """What the list says of a cache now; one that started anew has lost its old connections."""
+        lane = self.lanes.get(cache)
+        if lane and (lane.host, lane.port, lane.booted) != (host, port, booted):
+            self.let_go(cache, silent=True)
+            lane = None
+        if not lane:
+            self.lanes[cache] = Lane(self, cache, host, port, booted)
+        if not usable:
+            self.withdraw({cache}, lambda pull: False)
+
+    def gone(self, cache: int) -> None:
+        self.withdraw({cache}, lambda pull: False)
+        if cache in self.lanes:
+            self.let_go(cache, silent=False)
+
+    def let_go(self, cache: int, silent: bool) -> None:
+        lane = self.lanes.pop(cache)
+        lane.close(silent)
+
+    def withdraw(self, caches: set[int], stale: Callable[[Pull], bool]) -> None:
+        """Take back what waits and has to do with these caches, or is stale for another cause."""
+        for lane in list(self.lanes.values()):
+            if lane.waiting:
+                lane.withdraw(lambda pull: pull.cache in caches or pull.source in caches or stale(pull))
+
+    def purged(self, key: str | None, group: int) -> None:
+        self.withdraw(set(), lambda pull: pull.key == key if key else pull.group == group)
+
+    def send(self, pull: Pull) -> None:
+        lane = self.lanes.get(pull.cache)
+        if lane:
+            lane.send(pull)
+        else:  # its cache left the list in this very turn
+            pull.end(Lost.WITHDRAWN)
+
+    def call_off(self, pull: Pull) -> bool:
+        """Give a pull up. Whether any byte of it had gone out."""
+        if pull.over:
+            return True
+        pull.over = True
+        if pull.connection:
+            pull.connection.undo(pull)
+            return True
+        if lane := self.lanes.get(pull.cache):
+            lane.waiting.remove(pull)
+        return False
+
+    def probe(self, cache: int, tag: str, report: bool) -> bool:
+        """Send a probe over a connection that is up; false where there is none."""
+        lane = self.lanes.get(cache)
+        up = [c for c in lane.connections if c.takes(tag)] if lane else []
+        if up:
+            self.probes[tag] = cache
+            up[0].write((commands.top if report else commands.ping)(tag))
+        return bool(up)
+
+    def probed(self, cache: int, answer: Answer) -> bool:
+        if self.probes.get(answer.name) != cache or answer.word not in ("FIT", "UNFIT"):
+            return False
+        del self.probes[answer.name]
+        self.tell_probed(cache, answer.word == "FIT", answer)
+        return True
+
+    def all(self) -> Iterable[CacheConnection]:
+        return (connection for lane in self.lanes.values() for connection in lane.connections)
+
+    def connections(self) -> int:
+        return sum(len(lane.connections) + len(lane.dials) for lane in self.lanes.values())
+
+    def rest(self, resting: bool) -> None:
+        """Read no more, or on: what is read must have somewhere to go."""
+        if resting is not self.resting:
+            self.resting = resting
+            for connection in list(self.all()):
+                connection.rest(resting)
--- /dev/null
+++ b/weldbend/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of clients, and the downloads they bring."""
--- /dev/null
+++ b/weldbend/clients/connection.py
@@ -0,0 +1,188 @@
+"""A client's connection: calls in, answers out, each direction through one bounded ring.
+
+A download is open from its last byte until its one answer is handed to the connection, or until
+nobody waits for it. The connection never closes by itself while one is open.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Protocol as Connection
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from weldbend.buffers.ring import Ring
+from weldbend.checks import must
+from weldbend.thrift import messages
+from weldbend.thrift.binary import BadMessage
+from weldbend.thrift.framing import BadFrame, next_frame
+
+CHUNK = 1 << 16  # the most that one read of a socket brings
+LONGEST_FRAME = 48_000 + (1 << 14)  # the longest body, and what comes with it
+OUT = 1 << 18  # holds the longest answer whole
+MOST_OPEN = 32  # the protocol's bound on open downloads of one connection
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """One download as its client asked for it."""
+
+    client: "Client"
+    seqid: int
+    fields: dict[str, str]
+    body: bytes
+    answered: bool = False
+    serial: str = ""  # what the taker calls it
+
+    def fulfill(self, body: bytes, same: bool) -> None:
+        self.end(messages.answer("process", self.seqid, body, {"ok304": "1"} if same else {}, True))
+
+    def throttle(self, wait: float) -> None:
+        self.end(messages.overloaded(self.seqid, {"after": str(int(wait * 1000))} if wait > 0 else {}))
+
+    def abandon(self) -> None:
+        self.end(messages.internal(self.seqid))
+
+    def turn_back(self, why: str) -> None:
+        wrong = messages.Wrong("process", self.seqid, messages.PROTOCOL_ERROR, why)
+        self.end(messages.application_exception(wrong))
+
+    def end(self, answer: bytes) -> None:
+        if must(not self.answered, "a download has one answer"):
+            self.answered = True
+            self.client.finish(self, answer)
+
+
+class Taker(Protocol):
+    """Who takes the downloads that clients bring."""
+
+    def take(self, call: Call) -> None: ...
+    def leave(self, call: Call) -> None: ...
+    def serving(self) -> bool: ...
+    def opened(self, client: "Client") -> None: ...
+    def closed(self, client: "Client") -> None: ...
+    def held(self, change: int) -> None: ...
+
+
+@implementer(IPushProducer)
+@dataclass(eq=False)
+class Client(Connection):
+    taker: Taker
+    came: Ring = field(default_factory=lambda: Ring(LONGEST_FRAME + 4 + 2 * CHUNK))
+    going: Ring = field(default_factory=lambda: Ring(OUT))
+    behind: deque[bytes] = field(default_factory=deque)  # whole answers that the ring has no room for
+    open: dict[int, Call] = field(default_factory=dict)
+    transport: Any = None
+    paused = ended = lost = resting = False
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.taker.opened(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        must(self.came.write(data) == len(data), "a client's ring has room for a chunk")
+        self.read()
+
+    def read(self) -> None:
+        """Take what has come whole; rest while the ring is nearly full, or enough is open."""
+        try:
+            while not self.ended and len(self.open) < MOST_OPEN:
+                data = next_frame(self.came, LONGEST_FRAME)
+                if data is None:
+                    break
+                self.called(messages.read_call(data))
+        except (BadFrame, BadMessage):
+            self.finish_and_close()
+        if self.ended:
+            self.came.skip(len(self.came))
+        self.rest(self.ended or self.came.free() < CHUNK)
+
+    def rest(self, resting: bool) -> None:
+        if resting is not self.resting and not self.lost:
+            self.resting = resting
+            (self.transport.pauseProducing if resting else self.transport.resumeProducing)()
+
+    def called(self, call: messages.Process | messages.GiveUp | messages.Probe | messages.Wrong) -> None:
+        match call:
+            case messages.Process(seqid) if seqid in self.open:  # a second answer must never be sent
+                self.finish_and_close()
+            case messages.Process(seqid, fields, body):
+                taken = self.open[seqid] = Call(self, seqid, fields, body)
+                self.taker.take(taken)
+            case messages.GiveUp(seqid):
+                if left := self.open.pop(seqid, None):
+                    left.answered = True
+                    self.taker.leave(left)
+            case messages.Probe(seqid):
+                self.send(messages.answer("probe", seqid, b"", {}, self.taker.serving()))
+            case messages.Wrong() if call.seqid in self.open:
+                self.finish_and_close()
+            case messages.Wrong():
+                self.send(messages.application_exception(call))
+
+    def finish(self, call: Call, answer: bytes) -> None:
+        if self.open.pop(call.seqid, None) is not call or self.lost:
+            return
+        self.send(answer)
+        if self.ended:
+            self.close_if_done()
+        elif self.came and len(self.open) == MOST_OPEN - 1:
+            self.read()
+
+    def send(self, answer: bytes) -> None:
+        if self.lost:
+            return
+        self.behind.append(answer)
+        self.taker.held(len(answer))
+        self.pump()
+
+    def pump(self) -> None:
+        """Move whole answers into the ring, and the ring's bytes on while the socket takes them."""
+        while True:
+            while self.behind and len(self.behind[0]) <= self.going.free():
+                self.going.write(self.behind.popleft())
+            if self.paused or not self.going:
+                break
+            data = self.going.read(min(len(self.going), CHUNK))
+            self.taker.held(-len(data))
+            self.transport.write(data)
+
+    def pauseProducing(self) -> None:
+        self.paused = True
+
+    def resumeProducing(self) -> None:
+        self.paused = False
+        self.pump()
+        self.close_if_done()
+
+    def stopProducing(self) -> None:
+        self.paused = True
+
+    def idle(self) -> bool:
+        return not (self.open or self.came or self.going or self.behind)
+
+    def finish_and_close(self) -> None:
+        """Hear no more of a client that breaks the protocol; what is open still gets its answer."""
+        self.ended = True
+        self.close_if_done()
+
+    def close_if_done(self) -> None:
+        if self.ended and not (self.open or self.going or self.behind or self.lost):
+            self.close()
+
+    def close(self) -> None:
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
+        self.lost = True
+        self.taker.held(-len(self.going) - sum(map(len, self.behind)))
+        self.behind.clear()
+        calls, self.open = list(self.open.values()), {}
+        for call in calls:
+            call.answered = True
+            self.taker.leave(call)
+        self.taker.closed(self)
--- /dev/null
+++ b/weldbend/front/clock.py
@@ -0,0 +1,20 @@
+"""The front's time: seconds that never go back, and the Unix clock beside it."""
+
+import time
+
+
+class Clock:
+    """`now` runs on the steady clock; Unix stamps are converted with the offset of the moment."""
+
+    @staticmethod
+    def now() -> float:
+        return time.monotonic()
+
+    @staticmethod
+    def age(stamp: float) -> float:
+        """How long ago a Unix stamp was, never less than nothing."""
+        return max(time.time() - stamp, 0.0)
+
+    def moment(self, stamp: float) -> float:
+        """A Unix stamp in the front's own time."""
+        return self.now() - (time.time() - stamp)
--- /dev/null
+++ b/weldbend/front/life.py
@@ -0,0 +1,128 @@
+"""Start and stop of one front: what runs, in which order it comes up, and how it ends.
+
+It listens only when it can answer. After SIGTERM it goes on accepting, and ends when all that was
+taken has its answer, not before clients have had time to notice.
+"""
+
+import resource
+import signal
+import time
+from typing import Any
+
+from loguru import logger
+
+from weldbend import checks
+from weldbend.bus.reader import BusReader
+from weldbend.clients.connection import Call, Client
+from weldbend.clients.listener import Listener
+from weldbend.front.clock import Clock
+from weldbend.front.loop import Loop
+from weldbend.front.site import Site
+from weldbend.front.timers import Timers
+
+LINGER = 0.7  # the least time from SIGTERM to the end: clients still come
+REPORT = 10.0  # seconds between two lines of counters
+
+
+class Front:
+    def __init__(self, reactor: Any, site: Site) -> None:
+        self.reactor, self.site = reactor, site
+        self.clock = Clock()
+        self.timers = Timers(reactor, self.clock)
+        self.loop = Loop(reactor, site, self.clock, self.timers)
+        self.listener = Listener(self, site.clients)
+        self.bus = BusReader(reactor, self.timers, site.bus, site.offset, self.loop.tell)
+        self.ready = False
+        self.told: float | None = None  # when SIGTERM came
+        self.waiting = self.most_waiting = self.most_clients = self.most_caches = 0
+
+    def start(self) -> None:
+        for numbered in self.site.known:
+            self.loop.tell(numbered)
+        self.loop.turn()
+        self.bus.start()
+        self.listener.listen(self.reactor, self.site.host, self.site.port)
+        self.ready = True
+        self.timers.after(REPORT, self.report)
+        logger.info("front {} serves on {}:{}", self.site.name, self.site.host, self.site.port)
+
+    def terminate(self) -> None:
+        """SIGTERM: say so to probes, take what still comes, and end when all of it is answered."""
+        if self.told is None:
+            self.told = self.clock.now()
+            logger.info("told to stop; {} downloads open", len(self.loop.downloads))
+            self.timers.after(LINGER, self.end_if_done)
+
+    def end_if_done(self) -> None:
+        """Looked at again and again, since what is done can come undone until the last moment."""
+        assert self.told is not None
+        late = self.clock.now() > self.told + LINGER + self.site.longest
+        if late or not (self.loop.downloads or not self.listener.idle()):
+            self.report()
+            logger.info("ends, {} downloads open", len(self.loop.downloads))
+            self.bus.stop()
+            self.reactor.stop()
+        else:
+            self.timers.after(0.02, self.end_if_done)
+
+    def report(self) -> None:
+        """One line of counters: what was done, what did not hold, what it took."""
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        counts, caches = self.loop.counts, sum(1 for _ in self.loop.pool.all())
+        cpu = (used.ru_utime + used.ru_stime) * 1e3
+        logger.info(
+            "counts {}; cpu {:.0f} ms, {:.2f} a download; memory {:.0f} MB at most; clients {} ({} at most); "
+            "caches {} ({} at most); answers waiting {} kB at most; bus lost {} times; broken {}",
+            dict(counts), cpu, cpu / max(counts["downloads"], 1), used.ru_maxrss / 1024,
+            len(self.listener.clients), self.most_clients, caches, max(self.most_caches, caches),
+            self.most_waiting // 1000, self.bus.losses, dict(checks.broken),
+        )  # fmt: skip
+        self.most_caches = max(self.most_caches, caches)
+        if self.told is None:
+            self.timers.after(REPORT, self.report)
+
+    # What client connections ask of the front.
+
+    def take(self, call: Call) -> None:
+        self.loop.take(call)
+
+    def leave(self, call: Call) -> None:
+        self.loop.leave(call)
+
+    def serving(self) -> bool:
+        return self.ready and self.told is None
+
+    def opened(self, client: Client) -> None:
+        self.listener.opened(client)
+        self.most_clients = max(self.most_clients, len(self.listener.clients))
+
+    def closed(self, client: Client) -> None:
+        self.listener.closed(client)
+
+    def held(self, change: int) -> None:
+        """Answers wait for slow readers: beyond the bound, caches are read no further."""
+        self.waiting += change
+        self.most_waiting = max(self.most_waiting, self.waiting)
+        resting = self.loop.pool.resting
+        if self.waiting > self.site.held and not resting:
+            self.loop.pool.rest(True)
+        elif self.waiting < self.site.held // 2 and resting:
+            self.loop.pool.rest(False)
+
+
+def serve(site: Site) -> None:
+    """Run one front in this process until it is told to end."""
+    from twisted.internet import reactor
+
+    front = Front(reactor, site)
+    started = time.process_time()
+    reactor.callWhenRunning(front.start)  # type: ignore[attr-defined]
+    reactor.addSystemEventTrigger(  # type: ignore[attr-defined]
+        "after", "startup", lambda: signal.signal(signal.SIGTERM, lambda *_: told(reactor, front))
+    )
+    logger.info("started in {:.2f} s of CPU", started)
+    reactor.run()  # type: ignore[attr-defined]
+
+
+def told(reactor: Any, front: Front) -> None:
+    reactor.callFromThread(front.terminate)
--- /dev/null
+++ b/weldbend/front/loop.py
@@ -0,0 +1,279 @@
+"""The loop round the decisions: events in, one batch a turn of the reactor, and actions carried out.
+
+Nothing is decided here. A download is closed when it is answered or left; the loop keeps it until
+all its pulls have ended, since the decisions are told the end of each.
+"""
+
+import traceback
+from collections import Counter, deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from loguru import logger
+
+from weldbend import interface as face
+from weldbend.bus.events import Ban, Numbered, Topology
+from weldbend.caches.connection import Lost, Pull
+from weldbend.caches.pool import Pool
+from weldbend.checks import must
+from weldbend.clients.connection import Call
+from weldbend.front import words
+from weldbend.front.clock import Clock
+from weldbend.front.names import Names
+from weldbend.front.site import Site
+from weldbend.front.timers import Timer, Timers
+from weldbend.lines import commands
+from weldbend.lines.answers import Answer
+from weldbend.logic import Router
+
+
+@dataclass(eq=False, slots=True)
+class Download:
+    """One download that was taken, and its pulls."""
+
+    name: str
+    wish: words.Wish
+    call: Call
+    until: float
+    pulls: list[Pull] = field(default_factory=list)
+    handed: list[float] = field(default_factory=list)
+    timers: list[Timer] = field(default_factory=list)
+    closed: bool = False
+
+    def out(self) -> bool:
+        return any(not pull.over for pull in self.pulls)
+
+
+class Loop:
+    def __init__(self, reactor: Any, site: Site, clock: Clock, timers: Timers) -> None:
+        self.reactor, self.site, self.clock, self.timers = reactor, site, clock, timers
+        self.router = Router(site.seed, site.facts)
+        self.names = Names(clock, site.roles, {}, {})
+        self.pool = Pool(reactor, timers, site.bounds, self.probed)
+        self.downloads: dict[str, Download] = {}
+        self.events: list[face.Event] = []
+        self.listed: set[int] = set()
+        self.turning = False
+        self.handed: face.Event | None = None  # the event that the decisions are at
+        self.serial = self.probes = 0
+        self.asked: dict[str, tuple[int, float]] = {}
+        self.counts: Counter[str] = Counter()
+        self.idle: Callable[[], None] = lambda: None  # called when the last open download has ended
+
+    # What clients bring.
+
+    def take(self, call: Call) -> None:
+        try:
+            wish = words.read_wish(call.fields, call.body, self.site.facts.types)
+        except words.BadDownload as wrong:
+            self.counts["turned back"] += 1
+            call.turn_back(str(wrong))
+            return
+        if len(self.downloads) >= self.site.most_open:
+            call.throttle(0.0)
+            return
+        self.serial += 1
+        call.serial = name = f"{self.serial:x}"
+        until = self.clock.now() + wish.wait
+        dl = self.downloads[name] = Download(name, wish, call, until)
+        dl.timers.append(self.timers.at(until, lambda: self.expire(dl)))
+        self.counts["downloads"] += 1
+        work = wish.kb / self.site.flow
+        asked = face.Asked(name, wish.key, wish.part, wish.group, wish.type, work, wish.repeat, until)
+        self.post(asked)
+
+    def leave(self, call: Call) -> None:
+        """Nobody waits for it any more."""
+        dl = self.downloads.get(call.serial)
+        if dl and not dl.closed:
+            self.counts["left"] += 1
+            self.post(face.Left(dl.name))
+            self.close(dl)
+
+    def expire(self, dl: Download) -> None:
+        """Its time is up: what is still out has timed out, and the decisions owe their last word."""
+        for pull in dl.pulls:
+            if not pull.over:
+                self.pool.call_off(pull)
+                self.ended(dl, pull, face.Result.TIMED_OUT)
+        self.turn()
+        if not must(dl.closed, "a download is answered before its expiry"):
+            self.give_up(dl)
+
+    # What the bus tells.
+
+    def tell(self, numbered: Numbered) -> None:
+        match numbered.event:
+            case Topology(whole, targets):
+                known = [target for target in targets if target.kind in self.site.roles]
+                must(len(known) == len(targets), "the list names only known kinds")
+                entries = tuple(self.names.entry(target) for target in known)
+                named = {entry.id for entry in entries}
+                for target, entry in zip(known, entries, strict=True):
+                    if entry.phase is face.Phase.GONE:
+                        self.pool.gone(entry.id)
+                    else:
+                        usable = entry.phase is face.Phase.READY
+                        self.pool.listed(entry.id, target.host, target.port, target.booted, usable)
+                for missing in self.listed - named if whole else ():
+                    self.pool.gone(missing)
+                self.listed = named if whole else self.listed | named
+                self.post(face.Listed(face.Scale.WHOLE if whole else face.Scale.CHANGES, entries))
+            case Ban(key, group, at):
+                self.pool.purged(key, group)
+                self.post(face.Purged(key, group, self.clock.age(at)))
+
+    # What the decisions want.
+
+    def post(self, event: face.Event) -> None:
+        self.events.append(event)
+        if not self.turning:
+            self.turning = True
+            self.reactor.callLater(0, self.turn)
+
+    def turn(self) -> None:
+        """Hand over all that has come, and carry out what is answered."""
+        self.turning = False
+        coming, self.events = deque(self.events), []
+        while coming:
+            try:
+                actions = self.router.handle(self.clock.now(), self.each(coming))
+            except Exception:  # a fault in one download ends that one, not the front
+                actions = self.router.actions
+                self.fault(self.handed)
+            for action in actions:
+                try:
+                    self.perform(action)
+                except Exception:
+                    self.fault(action)
+
+    def each(self, coming: deque[face.Event]) -> Iterator[face.Event]:
+        while coming:
+            self.handed = coming.popleft()
+            yield self.handed
+
+    def fault(self, at: face.Event | face.Action | None) -> None:
+        self.counts["faults"] += 1
+        logger.error("fault at {}: {}", at, traceback.format_exc())
+        if dl := self.downloads.get(getattr(at, "id", "")):
+            self.give_up(dl)
+
+    def give_up(self, dl: Download) -> None:
+        if not dl.closed:
+            self.counts["abandoned"] += 1
+            dl.call.abandon()
+            self.post(face.Left(dl.name))
+            self.close(dl)
+
+    def perform(self, action: face.Action) -> None:
+        match action:
+            case face.SendPull():
+                self.send(action)
+            case face.CallOff(name, number):
+                if dl := self.downloads.get(name):
+                    self.call_off(dl, dl.pulls[number])
+            case face.Throttle(name, wait):
+                if (dl := self.downloads.get(name)) and not dl.closed:
+                    self.counts["throttled"] += 1
+                    dl.call.throttle(wait)
+                    self.close(dl)
+            case face.Abandon(name):
+                if (dl := self.downloads.get(name)) and not dl.closed:
+                    self.counts["abandoned"] += 1
+                    dl.call.abandon()
+                    self.close(dl)
+            case face.Wake(delay, token):
+                self.timers.after(delay, lambda: self.post(face.Woke(token)))
+            case face.Probe(cache):
+                self.probe(cache)
+            case face.Remark(text):
+                logger.info("decisions: {}", text)
+            case face.Watch():
+                pass  # the bus is read from the start
+            case _:
+                must(False, f"an action that sockets know: {type(action).__name__}")
+
+    def send(self, action: face.SendPull) -> None:
+        dl = self.downloads.get(action.id)
+        if not dl or not must(not dl.closed, "no pull for a download that has ended"):
+            return
+        source = self.names.uids[action.source] if action.source not in (None, action.cache) else None
+
+        def command() -> bytes:
+            left = dl.until - self.clock.now()
+            wait = min(action.patience, left) if action.patience else left
+            return commands.do(dl.wish.name, words.order(dl.wish, action, source, wait), dl.wish.body)
+
+        pull = Pull(
+            name=dl.wish.name,
+            cache=action.cache,
+            source=action.source,
+            key=dl.wish.key,
+            group=dl.wish.group,
+            command=command,
+            ended=lambda pull, how: self.ended(dl, pull, how),
+        )
+        dl.pulls.append(pull)
+        dl.handed.append(self.clock.now())
+        self.counts["pulls"] += 1
+        if action.patience:
+            dl.timers.append(self.timers.after(action.patience, lambda: self.impatient(dl, pull)))
+        self.pool.send(pull)
+
+    def impatient(self, dl: Download, pull: Pull) -> None:
+        if not pull.over:
+            self.pool.call_off(pull)
+            self.ended(dl, pull, face.Result.TIMED_OUT)
+
+    def call_off(self, dl: Download, pull: Pull) -> None:
+        if not pull.over:
+            went = self.pool.call_off(pull)
+            self.ended(dl, pull, face.Result.CALLED_OFF if went else face.Result.MOOT)
+
+    def ended(self, dl: Download, pull: Pull, how: Answer | Lost | face.Result) -> None:
+        """One pull has ended; the first that brings the object answers the download."""
+        if isinstance(how, Answer) and how.word in ("DONE", "KEEP") and not dl.closed:
+            self.counts["fulfilled"] += 1
+            dl.call.fulfill(how.body, how.word == "KEEP")
+            self.close(dl)
+        number = dl.pulls.index(pull)
+        if isinstance(how, Answer) and not must(how.word in words.RESULTS, "a pull ends with a pull's word"):
+            how = face.Result.ERROR
+        self.post(words.ended(dl.name, number, how, self.clock.now() - dl.handed[number], dl.closed))
+        self.forget(dl)
+
+    def close(self, dl: Download) -> None:
+        dl.closed = True
+        for timer in dl.timers:
+            timer.cancel()
+        self.forget(dl)
+
+    def forget(self, dl: Download) -> None:
+        if dl.closed and not dl.out():
+            self.downloads.pop(dl.name, None)
+            if not self.downloads:
+                self.idle()
+
+    # Probes.
+
+    def probe(self, cache: int) -> None:
+        self.probes += 1
+        tag = f"p{self.probes:x}"
+        self.asked[tag] = cache, self.clock.now()
+        if not self.pool.probe(cache, tag, self.site.reports):
+            self.reactor.callLater(0, self.unprobed, tag, face.Result.UNREACHED)
+            return
+        self.timers.after(self.site.bounds.dial, lambda: self.unprobed(tag, face.Result.TIMED_OUT))
+
+    def unprobed(self, tag: str, result: face.Result) -> None:
+        if tag in self.asked:
+            cache, since = self.asked.pop(tag)
+            self.post(face.Probed(cache, result, self.clock.now() - since, None))
+
+    def probed(self, cache: int, fit: bool, answer: Answer) -> None:
+        if answer.name in self.asked:
+            _, since = self.asked.pop(answer.name)
+            result = face.Result.FULFILLED if fit else face.Result.ERROR
+            use = words.load(answer.fields.get("use"))
+            self.post(face.Probed(cache, result, self.clock.now() - since, use))
--- /dev/null
+++ b/weldbend/front/names.py
@@ -0,0 +1,39 @@
+"""Names of caches at the door: the list's words on one side, the decisions' numbers on the other."""
+
+import zlib
+from dataclasses import dataclass
+
+from weldbend import interface as face
+from weldbend.bus.events import Target
+from weldbend.front.clock import Clock
+
+PHASES = {"up": face.Phase.READY, "draining": face.Phase.DRAINING, "removed": face.Phase.GONE}
+
+
+@dataclass(slots=True)
+class Names:
+    """The same name gives the same number at every front, and after a restart: the hash goes by numbers."""
+
+    clock: Clock
+    roles: dict[str, face.Role]
+    numbers: dict[str, int]
+    uids: dict[int, str]
+
+    def number(self, uid: str) -> int:
+        if uid not in self.numbers:
+            number = zlib.crc32(uid.encode())
+            while number in self.uids:
+                number = (number + 1) % 2**32
+            self.numbers[uid], self.uids[number] = number, uid
+        return self.numbers[uid]
+
+    def entry(self, target: Target) -> face.Entry:
+        return face.Entry(
+            id=self.number(target.uid),
+            weight=target.weight,
+            zone=target.zone,
+            cell=target.cell,
+            role=self.roles[target.kind],
+            phase=PHASES[target.state],
+            started=self.clock.moment(target.booted) if target.booted else None,
+        )
--- /dev/null
+++ b/weldbend/front/site.py
@@ -0,0 +1,78 @@
+"""The configuration of one front, read and checked once at start."""
+
+import json
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from weldbend.bus.events import BadEvent, Numbered, known
+from weldbend.caches.pool import Bounds
+from weldbend.facts import cache_roles, site_facts
+from weldbend.interface import Role, SiteFacts
+
+RESERVE = 32  # descriptors for the process itself: log, reactor, bus, listening port
+
+
+class BadSite(Exception):
+    """A configuration that no front can start from; its text is one line for people."""
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    name: str
+    host: str
+    port: int
+    seed: int
+    bus: str
+    known: list[Numbered]
+    offset: int
+    facts: SiteFacts
+    roles: dict[str, Role]
+    flow: float  # KB in one second of sending at a client's top pace
+    reports: bool  # whether caches report their load
+    most_open: int
+    longest: float  # the longest time that a client waits
+    bounds: Bounds
+    clients: int  # connections of clients
+    held: int  # bytes of answers that wait for slow readers
+
+
+def read_site(text: str) -> Site:
+    try:
+        return site(json.loads(text))
+    except KeyError as missing:
+        raise BadSite(f"configuration lacks {missing}") from None
+    except (ValueError, TypeError, AttributeError, IndexError, RecursionError, BadEvent) as wrong:
+        raise BadSite(f"configuration cannot be used: {wrong}") from None
+
+
+def site(raw: Mapping[str, Any]) -> Site:
+    settings, limits = raw["settings"], raw["limits"]
+    caps = settings["caps"]
+    host, _, port = raw["listen"].rpartition(":")
+    sockets = int(limits["sockets"])
+    clients = sockets // 2  # clients hold a third at most; the rest is for caches
+    return Site(
+        name=str(raw["name"]),
+        host=host,
+        port=int(port),
+        seed=zlib.crc32(str(raw["seed"]).encode()),
+        bus=raw["bus"],
+        known=known(raw["known"]),
+        offset=int(raw["known"]["offset"]),
+        facts=site_facts(settings),
+        roles=cache_roles(settings),
+        flow=float(settings["family_info"]["one_flow_kb_per_s"]),
+        reports=settings["report"]["source"] != "none",
+        most_open=int(caps["open_cap"]),
+        longest=max(lane["deadline_us"] for lane in settings["lanes"]) / 1e6,
+        bounds=Bounds(
+            streams=int(caps["max_streams"]),
+            idle=caps["conn_idle_us"] / 1e6,
+            dial=caps["dial_timeout_us"] / 1e6,
+            descriptors=sockets - clients - RESERVE,
+        ),
+        clients=clients,
+        held=int(limits["memory_mb"]) * 2**20 // 4,
+    )
--- /dev/null
+++ b/weldbend/front/timers.py
@@ -0,0 +1,62 @@
+"""All timers of the front: one heap, and one delayed call for the next of them."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+from weldbend.front.clock import Clock
+
+
+class Timer:
+    __slots__ = ("call",)
+
+    def __init__(self, call: Callable[[], object]) -> None:
+        self.call: Callable[[], object] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Timers:
+    def __init__(self, reactor: Any, clock: Clock) -> None:
+        self.reactor, self.clock = reactor, clock
+        self.heap: list[tuple[float, int, Timer]] = []
+        self.order = itertools.count()
+        self.delayed: Any = None
+        self.due = 0.0
+
+    def now(self) -> float:
+        return self.clock.now()
+
+    def after(self, delay: float, call: Callable[[], object]) -> Timer:
+        return self.at(self.now() + max(delay, 0.0), call)
+
+    def at(self, moment: float, call: Callable[[], object]) -> Timer:
+        timer = Timer(call)
+        heapq.heappush(self.heap, (moment, next(self.order), timer))
+        self.arm()
+        return timer
+
+    def arm(self) -> None:
+        """Have the one delayed call come when the first timer is due."""
+        if not self.heap:
+            return
+        first = self.heap[0][0]
+        if self.delayed is not None and self.delayed.active():
+            if self.due <= first:
+                return
+            self.delayed.cancel()
+        self.due = first
+        self.delayed = self.reactor.callLater(max(first - self.now(), 0.0), self.fire)
+
+    def fire(self) -> None:
+        """Run what is due; a fault in one call must not silence the others."""
+        now = self.now()
+        try:
+            while self.heap and self.heap[0][0] <= now:
+                call = heapq.heappop(self.heap)[2].call
+                if call:
+                    call()
+        finally:
+            self.arm()
--- /dev/null
+++ b/weldbend/lines/__init__.py
@@ -0,0 +1,1 @@
+"""The caches' line protocol: commands out, answers in; no I/O."""
--- /dev/null
+++ b/weldbend/thrift/messages.py
@@ -0,0 +1,106 @@
+"""The messages of the Front service: calls read, answers written."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from weldbend.thrift import binary
+from weldbend.thrift.binary import MAP, REPLY, STRING, STRUCT, BadMessage, Head, Reader
+from weldbend.thrift.framing import frame
+
+UNKNOWN_METHOD, WRONG_KIND, PROTOCOL_ERROR = 1, 2, 7  # kinds of application exception
+KINDS = {"process": binary.CALL, "giveUp": binary.ONEWAY, "probe": binary.CALL}
+STOP = bytes((binary.STOP,))
+
+
+@dataclass(frozen=True, slots=True)
+class Process:
+    seqid: int
+    fields: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    seqid: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    seqid: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wrong:
+    """A call that cannot be understood, but can be answered."""
+
+    name: str
+    seqid: int
+    kind: int
+    why: str
+
+
+def read_call(data: bytes) -> Process | GiveUp | Probe | Wrong:
+    """One frame as a call; raises BadMessage where not even its head can be read."""
+    reader = Reader(data)
+    head = reader.head()
+    if head.name not in KINDS:
+        return Wrong(head.name, head.seqid, UNKNOWN_METHOD, f"unknown method {head.name!r}"[:100])
+    if head.kind != KINDS[head.name]:
+        return Wrong(head.name, head.seqid, WRONG_KIND, f"message kind {head.kind}")
+    try:
+        return arguments(reader, head)
+    except BadMessage as wrong:
+        if head.kind == binary.ONEWAY:
+            raise
+        return Wrong(head.name, head.seqid, PROTOCOL_ERROR, str(wrong))
+
+
+def arguments(reader: Reader, head: Head) -> Process | GiveUp | Probe:
+    fields: dict[str, str] | None = None
+    body, given_up = b"", None
+    for kind, number in reader.fields():
+        match head.name, kind, number:
+            case "process", binary.MAP, 1:
+                fields = reader.text_map()
+            case "process", binary.STRING, 2:
+                body = reader.binary()
+            case "giveUp", binary.I32, 1:
+                given_up = reader.i32()
+            case _:
+                reader.skip(kind)
+    if reader.at != len(reader.data):
+        raise BadMessage(f"{len(reader.data) - reader.at} bytes after the message")
+    if head.name == "probe":
+        return Probe(head.seqid)
+    if head.name == "giveUp":
+        if given_up is None:
+            raise BadMessage("giveUp without a seqid")
+        return GiveUp(given_up)
+    if fields is None:
+        raise BadMessage("process without fields")
+    return Process(head.seqid, fields, body)
+
+
+def answer(name: str, seqid: int, body: bytes, fields: Mapping[str, str], good: bool) -> bytes:
+    held = binary.field(STRING, 1, binary.binary(body)) + binary.field(MAP, 2, binary.text_map(fields))
+    struct = held + binary.field(binary.BOOL, 3, bytes((good,))) + STOP
+    return frame(binary.head(REPLY, name, seqid) + binary.field(STRUCT, 0, struct) + STOP)
+
+
+def declared(number: int, seqid: int, fields: Mapping[str, str]) -> bytes:
+    struct = binary.field(MAP, 1, binary.text_map(fields)) + STOP
+    return frame(binary.head(REPLY, "process", seqid) + binary.field(STRUCT, number, struct) + STOP)
+
+
+def overloaded(seqid: int, fields: Mapping[str, str]) -> bytes:
+    return declared(1, seqid, fields)
+
+
+def internal(seqid: int) -> bytes:
+    return declared(2, seqid, {})
+
+
+def application_exception(wrong: Wrong) -> bytes:
+    text = binary.field(STRING, 1, binary.binary(wrong.why.encode()))
+    struct = text + binary.field(binary.I32, 2, binary.i32(wrong.kind)) + STOP
+    return frame(binary.head(binary.EXCEPTION, wrong.name[:100], wrong.seqid) + struct)
