--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -4,65 +4,10 @@
 import json
 
 import pytest
+from fronts import CONF
 
 from weldbend.simhost.host import serve
 
-CONF = {
-    "az": "z",
-    "caps": {
-        "cancelling": True,
-        "max_retry_after_us": 0,
-        "retry_after": False,
-        "second_copies": True,
-        "send_cap": 6,
-    },
-    "family_info": {
-        "bypass_allowed": False,
-        "count_by_zone": [0, 1],
-        "gone_everywhere_us": 6000000,
-        "hub_by_zone": [0, 0],
-        "lifetime_by_class_us": [0],
-        "notes_given": "hit",
-        "older_by_us": [0],
-        "one_flow_kb_per_s": 1000.0,
-        "parent_breaks_at": 2.0,
-        "parent_starts_at": 0.1,
-        "parent_warms_in_us": 20000000,
-        "pass_on": [False],
-        "peers_fill": "none",
-        "purge_slack_us": 300000,
-        "root_kind": 2,
-        "shares_fills": True,
-        "shield_kind": 1,
-    },
-    "kinds": ["box", "parent", "origin"],
-    "lanes": [
-        {
-            "deadline_us": 6000000,
-            "goal_time_us": 500000,
-            "idempotency": "idempotent",
-            "key_scope": "all",
-            "name": "photo",
-            "points": 2.0,
-            "window_us": 5000000,
-        }
-    ],
-    "obligations": {
-        "answer_slack_us": 8000,
-        "ask_within_us": 10000000,
-        "cold_from": 0.2,
-        "cold_us": 10000000,
-        "drain_grace_us": 500000,
-        "fall_multiple": 2.0,
-        "overload_for_us": 2000000,
-    },
-    "registry_mode": "automatic",
-    "siblings": 1,
-    "tick_us": 2000,
-    "weights": "rough",
-    "zones": ["h", "z"],
-    "unknown": 1,
-}
 START = f"""sync 1000000
 for 3
 provision 7 {json.dumps(CONF)}
--- a/weldbend/bus/events.py
+++ b/weldbend/bus/events.py
@@ -1,10 +1,13 @@
 """The bus's events, read from JSON: the list of caches and purges, still in the bus's own units."""
 
 import json
-from collections.abc import Mapping
+import math
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from loguru import logger
+
 STATES = ("up", "draining", "removed")
 
 
@@ -57,7 +60,7 @@
         offset = int(raw["offset"])
         if "topology" in raw:
             held = raw["topology"]
-            return Numbered(offset, Topology(bool(held["all"]), tuple(map(target, held["targets"]))))
+            return Numbered(offset, Topology(bool(held["all"]), tuple(targets(held["targets"]))))
         held = raw["ban"]
         key = held.get("url")
         if key is not None and not isinstance(key, str):
@@ -69,10 +72,22 @@
         raise BadEvent(f"{type(wrong).__name__} {wrong} in {str(raw)[:80]!r}") from None
 
 
+def targets(raw: list[Any]) -> Iterator[Target]:
+    """All entries that can be used; one that cannot must not hide the others."""
+    for item in raw:
+        try:
+            yield target(item)
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as wrong:
+            logger.warning("list entry passed over: {} {} in {:.80}", type(wrong).__name__, wrong, str(item))
+
+
 def target(raw: Mapping[str, Any]) -> Target:
     host, _, port = raw["endpoint"].rpartition(":")
+    weight, booted = float(raw.get("capacity_hint") or 1), float(raw.get("boot_ms") or 0) / 1000
     if raw["state"] not in STATES or not 0 < int(port) < 65536 or not isinstance(raw["uid"], str):
-        raise BadEvent(f"target {str(raw)[:80]!r}")
+        raise ValueError("no target")
+    if not 0 < weight < math.inf or not 0 <= booted < math.inf:
+        raise ValueError("no weight, or no time of start")
     return Target(
         uid=raw["uid"],
         host=host,
@@ -81,8 +96,8 @@
         kind=raw["model"],
         cell=int(raw.get("pod_group") or 0),
         state=raw["state"],
-        weight=float(raw.get("capacity_hint") or 0),
-        booted=float(raw.get("boot_ms") or 0) / 1000,
+        weight=weight,
+        booted=booted,
     )
 
 
--- a/weldbend/bus/reader.py
+++ b/weldbend/bus/reader.py
@@ -17,7 +17,7 @@
 from weldbend.bus.sse import BadStream, Parser
 
 SHORTEST, LONGEST = 0.05, 1.0  # seconds before connecting again
-SILENCE = 4.0  # a comment comes each second: after so long without a byte the bus is lost
+SILENCE = 2.5  # a comment comes each second: after so long without a byte the bus is lost
 
 
 class Timer(Protocol):
--- a/weldbend/caches/connection.py
+++ b/weldbend/caches/connection.py
@@ -72,13 +72,13 @@
     undone: dict[str, None] = field(default_factory=dict)  # names whose answer may still be on its way
     transport: Any = None
     paused = resting = retired = lost = False
-    used = heard = 0.0
+    made = used = heard = 0.0
 
     def connectionMade(self) -> None:
         self.parser = Parser(self.incoming)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
-        self.used = self.heard = self.now()
+        self.made = self.used = self.heard = self.now()
         self.owner.came(self)
 
     def takes(self, name: str) -> bool:
--- a/weldbend/caches/pool.py
+++ b/weldbend/caches/pool.py
@@ -47,21 +47,22 @@
     def __init__(self, lane: "Lane") -> None:
         self.lane = lane
 
-    def buildProtocol(self, addr: IAddress) -> CacheConnection:
+    def buildProtocol(self, addr: IAddress | None) -> CacheConnection:
+        self.lane.dials.pop(self, None)
         return CacheConnection(self.lane, self.lane.pool.timers.now)
 
     def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
-        self.lane.failed(connector)
+        self.lane.failed(self)
 
 
 class Lane:
     """All that goes to one cache."""
 
-    def __init__(self, pool: "Pool", cache: int, host: str, port: int, booted: float) -> None:
-        self.pool, self.cache, self.host, self.port, self.booted = pool, cache, host, port, booted
+    def __init__(self, pool: "Pool", cache: int, host: str, port: int) -> None:
+        self.pool, self.cache, self.host, self.port = pool, cache, host, port
         self.streams = pool.bounds.streams
         self.connections: list[CacheConnection] = []
-        self.dials: dict[IConnector, None] = {}
+        self.dials: dict[Dial, IConnector] = {}
         self.waiting: deque[Pull] = deque()
         self.closed = False
 
@@ -91,12 +92,10 @@
             if self.pool.connections() >= self.pool.bounds.descriptors:
                 break
             dial = Dial(self)
-            connector = self.pool.reactor.connectTCP(self.host, self.port, dial, self.pool.bounds.dial)
-            self.dials[connector] = None
+            timeout = self.pool.bounds.dial
+            self.dials[dial] = self.pool.reactor.connectTCP(self.host, self.port, dial, timeout)
 
     def came(self, connection: CacheConnection) -> None:
-        connector = connection.transport.connector
-        self.dials.pop(connector, None)
         if self.closed:
             connection.close()
             return
@@ -104,9 +103,9 @@
         connection.rest(self.pool.resting)
         self.room()
 
-    def failed(self, connector: IConnector) -> None:
+    def failed(self, dial: Dial) -> None:
         """A refused or silent dial speaks for all who wait for it: no connection can be made."""
-        self.dials.pop(connector, None)
+        self.dials.pop(dial, None)
         waiting, self.waiting = self.waiting, deque()
         for pull in waiting:
             pull.end(Lost.UNREACHED)
@@ -136,14 +135,19 @@
         for pull in gone:
             pull.end(Lost.WITHDRAWN)
 
-    def close(self, silent: bool) -> None:
-        """Its cache has gone, or come back as another process: nothing more goes here."""
+    def restarted(self, since: float) -> None:
+        """Connections from before a restart lead nowhere, though a machine that vanished never said so."""
+        for connection in [c for c in self.connections if c.made < since]:
+            connection.drop()
+
+    def close(self, moved: bool) -> None:
+        """Its cache has left the list, or this address: nothing more goes here."""
         self.closed = True
-        for connector in list(self.dials):
+        for connector in list(self.dials.values()):
             connector.disconnect()
         self.withdraw(lambda _: True)
         for connection in list(self.connections):
-            (connection.drop if silent else connection.retire)()
+            (connection.drop if moved else connection.retire)()
 
 
 class Pool:
@@ -155,25 +159,23 @@
         self.probes: dict[str, int] = {}
         self.resting = False
 
-    def listed(self, cache: int, host: str, port: int, booted: float, usable: bool) -> None:
-        """What the list says of a cache now; one that started anew has lost its old connections."""
+    def listed(self, cache: int, host: str, port: int, since: float, usable: bool) -> None:
+        """What the list says of a cache now: where it is, and since when."""
         lane = self.lanes.get(cache)
-        if lane and (lane.host, lane.port, lane.booted) != (host, port, booted):
-            self.let_go(cache, silent=True)
+        if lane and (lane.host, lane.port) != (host, port):
+            self.lanes.pop(cache).close(moved=True)
             lane = None
-        if not lane:
-            self.lanes[cache] = Lane(self, cache, host, port, booted)
+        if lane:
+            lane.restarted(since)
+        else:
+            self.lanes[cache] = Lane(self, cache, host, port)
         if not usable:
             self.withdraw({cache}, lambda pull: False)
 
     def gone(self, cache: int) -> None:
         self.withdraw({cache}, lambda pull: False)
         if cache in self.lanes:
-            self.let_go(cache, silent=False)
-
-    def let_go(self, cache: int, silent: bool) -> None:
-        lane = self.lanes.pop(cache)
-        lane.close(silent)
+            self.lanes.pop(cache).close(moved=False)
 
     def withdraw(self, caches: set[int], stale: Callable[[Pull], bool]) -> None:
         """Take back what waits and has to do with these caches, or is stale for another cause."""
--- a/weldbend/cli.py
+++ b/weldbend/cli.py
@@ -45,7 +45,8 @@
 
     logger.remove()
     logger.add(sys.stderr, format=FORMAT, level=log_level.upper(), backtrace=False, diagnose=False)
-    life.serve(load(config))
+    if not life.serve(load(config)):
+        sys.exit(1)
 
 
 @main.command()
--- a/weldbend/clients/connection.py
+++ b/weldbend/clients/connection.py
@@ -87,9 +87,9 @@
         self.read()
 
     def read(self) -> None:
-        """Take what has come whole; rest while the ring is nearly full, or enough is open."""
+        """Take what has come whole, but no more than is open at once, nor of one that reads no answers."""
         try:
-            while not self.ended and len(self.open) < MOST_OPEN:
+            while not self.ended and len(self.open) < MOST_OPEN and not self.behind:
                 data = next_frame(self.came, LONGEST_FRAME)
                 if data is None:
                     break
@@ -157,6 +157,8 @@
         self.paused = False
         self.pump()
         self.close_if_done()
+        if self.came and not self.lost:
+            self.read()
 
     def stopProducing(self) -> None:
         self.paused = True
--- a/weldbend/clients/listener.py
+++ b/weldbend/clients/listener.py
@@ -24,7 +24,7 @@
     def listen(self, reactor: Any, host: str, port: int) -> None:
         self.port = reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
 
-    def buildProtocol(self, addr: IAddress) -> Client:
+    def buildProtocol(self, addr: IAddress | None) -> Client:
         return Client(self.taker)
 
     def opened(self, client: Client) -> None:
@@ -42,6 +42,3 @@
         if self.port and resting is not self.resting:
             self.resting = resting
             (self.port.pauseProducing if resting else self.port.resumeProducing)()
-
-    def idle(self) -> bool:
-        return all(client.idle() for client in self.clients)
--- a/weldbend/front/life.py
+++ b/weldbend/front/life.py
@@ -6,10 +6,12 @@
 
 import resource
 import signal
-import time
 from typing import Any
 
 from loguru import logger
+from twisted.internet.error import CannotListenError
+from twisted.logger import ILogObserver, LogEvent, LogLevel, formatEvent, globalLogBeginner
+from zope.interface import implementer
 
 from weldbend import checks
 from weldbend.bus.reader import BusReader
@@ -36,6 +38,16 @@
         self.told: float | None = None  # when SIGTERM came
         self.waiting = self.most_waiting = self.most_clients = self.most_caches = 0
 
+    def run(self) -> None:
+        """Start, and hear of SIGTERM; a front that cannot start says why and ends."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.reactor.callFromThread(self.terminate))
+        try:
+            self.start()
+        except CannotListenError as wrong:
+            logger.error("cannot listen on {}:{}: {}", self.site.host, self.site.port, wrong.socketError)
+            self.reactor.stop()
+
     def start(self) -> None:
         for numbered in self.site.known:
             self.loop.tell(numbered)
@@ -57,13 +69,16 @@
         """Looked at again and again, since what is done can come undone until the last moment."""
         assert self.told is not None
         late = self.clock.now() > self.told + LINGER + self.site.longest
-        if late or not (self.loop.downloads or not self.listener.idle()):
+        if late or not (self.loop.downloads or self.listener.clients):
             self.report()
             logger.info("ends, {} downloads open", len(self.loop.downloads))
             self.bus.stop()
             self.reactor.stop()
-        else:
-            self.timers.after(0.02, self.end_if_done)
+            return
+        if not self.loop.downloads:
+            for client in list(self.listener.clients):
+                client.finish_and_close()
+        self.timers.after(0.02, self.end_if_done)
 
     def report(self) -> None:
         """One line of counters: what was done, what did not hold, what it took."""
@@ -110,19 +125,31 @@
             self.loop.pool.rest(False)
 
 
-def serve(site: Site) -> None:
-    """Run one front in this process until it is told to end."""
-    from twisted.internet import reactor
+@implementer(ILogObserver)
+class Bridge:
+    """Faults that Twisted caught go to the same log, and are counted."""
 
-    front = Front(reactor, site)
-    started = time.process_time()
-    reactor.callWhenRunning(front.start)  # type: ignore[attr-defined]
-    reactor.addSystemEventTrigger(  # type: ignore[attr-defined]
-        "after", "startup", lambda: signal.signal(signal.SIGTERM, lambda *_: told(reactor, front))
-    )
-    logger.info("started in {:.2f} s of CPU", started)
-    reactor.run()  # type: ignore[attr-defined]
+    def __init__(self, front: Front) -> None:
+        self.front = front
+
+    def __call__(self, event: LogEvent) -> None:
+        if event["log_level"] in (LogLevel.error, LogLevel.critical):
+            self.front.loop.counts["faults"] += 1
+            logger.error("fault: {}", formatEvent(event) + traceback_of(event))
 
 
-def told(reactor: Any, front: Front) -> None:
-    reactor.callFromThread(front.terminate)
+def traceback_of(event: LogEvent) -> str:
+    failure = event.get("log_failure")
+    return f" {failure.getTraceback()}" if failure else ""
+
+
+def serve(site: Site) -> bool:
+    """Run one front in this process until it is told to end; false if it could not start."""
+    from twisted.internet import reactor  # installs the reactor: only a process that serves wants one
+
+    front = Front(reactor, site)
+    globalLogBeginner.beginLoggingTo([Bridge(front)], redirectStandardIO=False, discardBuffer=True)
+    running: Any = reactor
+    running.callWhenRunning(front.run)
+    running.run()
+    return front.ready
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -4,6 +4,7 @@
 all its pulls have ended, since the decisions are told the end of each.
 """
 
+import math
 import traceback
 from collections import Counter, deque
 from collections.abc import Callable, Iterator
@@ -59,11 +60,20 @@
         self.serial = self.probes = 0
         self.asked: dict[str, tuple[int, float]] = {}
         self.counts: Counter[str] = Counter()
-        self.idle: Callable[[], None] = lambda: None  # called when the last open download has ended
 
     # What clients bring.
 
     def take(self, call: Call) -> None:
+        """A download whose last byte has come: hand it to the decisions, or turn it back."""
+        try:
+            self.admit(call)
+        except Exception:
+            self.counts["faults"] += 1
+            logger.error("fault in a call: {}", traceback.format_exc())
+            if not call.answered:
+                call.abandon()
+
+    def admit(self, call: Call) -> None:
         try:
             wish = words.read_wish(call.fields, call.body, self.site.facts.types)
         except words.BadDownload as wrong:
@@ -77,7 +87,7 @@
         call.serial = name = f"{self.serial:x}"
         until = self.clock.now() + wish.wait
         dl = self.downloads[name] = Download(name, wish, call, until)
-        dl.timers.append(self.timers.at(until, lambda: self.expire(dl)))
+        dl.timers.append(self.timers.at(until, lambda: self.guard(dl, self.expire)))
         self.counts["downloads"] += 1
         work = wish.kb / self.site.flow
         asked = face.Asked(name, wish.key, wish.part, wish.group, wish.type, work, wish.repeat, until)
@@ -92,14 +102,19 @@
             self.close(dl)
 
     def expire(self, dl: Download) -> None:
-        """Its time is up: what is still out has timed out, and the decisions owe their last word."""
+        """Its time is up: what is still out has timed out, and the decisions owe their last word.
+
+        Holds also for one closed before, where the site does not let the decisions call off what is out.
+        """
         for pull in dl.pulls:
             if not pull.over:
                 self.pool.call_off(pull)
                 self.ended(dl, pull, face.Result.TIMED_OUT)
-        self.turn()
-        if not must(dl.closed, "a download is answered before its expiry"):
+        if not dl.closed:
+            self.turn()
+        if not dl.closed:
             self.give_up(dl)
+            must(False, "a download is answered before its expiry")
 
     # What the bus tells.
 
@@ -115,7 +130,8 @@
                         self.pool.gone(entry.id)
                     else:
                         usable = entry.phase is face.Phase.READY
-                        self.pool.listed(entry.id, target.host, target.port, target.booted, usable)
+                        since = entry.started or -math.inf
+                        self.pool.listed(entry.id, target.host, target.port, since, usable)
                 for missing in self.listed - named if whole else ():
                     self.pool.gone(missing)
                 self.listed = named if whole else self.listed | named
@@ -154,11 +170,21 @@
             yield self.handed
 
     def fault(self, at: face.Event | face.Action | None) -> None:
+        """Log the fault at hand, and abandon the one download that it is about."""
         self.counts["faults"] += 1
         logger.error("fault at {}: {}", at, traceback.format_exc())
         if dl := self.downloads.get(getattr(at, "id", "")):
             self.give_up(dl)
 
+    def guard(self, dl: Download, call: Callable[..., None], *args: Any) -> None:
+        """Guards a connection, which others share, against a fault in what one download does there."""
+        try:
+            call(dl, *args)
+        except Exception:
+            self.counts["faults"] += 1
+            logger.error("fault in download {}: {}", dl.name, traceback.format_exc())
+            self.give_up(dl)
+
     def give_up(self, dl: Download) -> None:
         if not dl.closed:
             self.counts["abandoned"] += 1
@@ -212,7 +238,7 @@
             key=dl.wish.key,
             group=dl.wish.group,
             command=command,
-            ended=lambda pull, how: self.ended(dl, pull, how),
+            ended=lambda pull, how: self.guard(dl, self.ended, pull, how),
         )
         dl.pulls.append(pull)
         dl.handed.append(self.clock.now())
@@ -245,15 +271,13 @@
 
     def close(self, dl: Download) -> None:
         dl.closed = True
-        for timer in dl.timers:
-            timer.cancel()
         self.forget(dl)
 
     def forget(self, dl: Download) -> None:
         if dl.closed and not dl.out():
+            for timer in dl.timers:
+                timer.cancel()
             self.downloads.pop(dl.name, None)
-            if not self.downloads:
-                self.idle()
 
     # Probes.
 
--- a/weldbend/front/words.py
+++ b/weldbend/front/words.py
@@ -22,8 +22,9 @@
     Lost.WITHDRAWN: face.Result.MOOT,
 }
 HINTS = dict(zip("hfojsrblnx", list(face.Hint)[1:], strict=True))
-HEX16, WORD = re.compile(r"[0-9a-f]{16}"), re.compile(r"[\x21-\x2b\x2d-\x3c\x3e-\x7e]{1,128}")
+HEX16, WORD = re.compile(r"[0-9a-fA-F]{16}"), re.compile(r"[\x21-\x2b\x2d-\x3c\x3e-\x7e]{1,128}")
 LONGEST_BODY = 48_000
+LONGEST_WAIT = 3600.0
 
 
 class BadDownload(Exception):
@@ -47,12 +48,12 @@
     body: bytes
 
 
-def read_wish(fields: Mapping[str, str], body: bytes, types: Mapping[str, object]) -> Wish:
+def read_wish(fields: Mapping[str, str], body: bytes, types: Mapping[str, face.ContentType]) -> Wish:
     try:
         wish = Wish(
             name=fields["id"],
             type=fields["class"],
-            wait=int(fields["wait"][:12]) / 1000,
+            wait=float(fields["wait"][:20]) / 1000,
             repeat=fields.get("retry") == "1",
             key=fields["key"],
             part=int(fields.get("nth", "0")[:9]),
@@ -68,11 +69,18 @@
         raise BadDownload("a field that is no number") from None
     if wish.type not in types:
         raise BadDownload("unknown content type")
+    if types[wish.type].effect is face.Effect.DEDUPED and not wish.once:
+        raise BadDownload("missing field 'once'")
     if not HEX16.fullmatch(wish.name) or not HEX16.fullmatch(wish.key):
         raise BadDownload("id and key are 16 hex digits")
     if not all(text is None or WORD.fullmatch(text) for text in (wish.once, wish.got)):
         raise BadDownload("a field that cannot be passed on")
-    if wish.wait <= 0 or wish.part < 0 or not 0 <= wish.group <= 255 or not 0 <= wish.kb < 1e9:
+    if (
+        not 0 < wish.wait <= LONGEST_WAIT
+        or wish.part < 0
+        or not 0 <= wish.group <= 255
+        or not 0 <= wish.kb < 1e9
+    ):
         raise BadDownload("a number out of its bounds")
     if len(body) > LONGEST_BODY:
         raise BadDownload("a body too large")
