Tell a drain or purge before what it makes stale; test each trap of the sockets in memory

Seen in a trace: a pull that waited for its connection was withdrawn by a drain, but the decisions heard of the withdrawal before the drain and sent the same pull again; it then went out to the draining cache. At fault: Loop.tell posted the list after the pool had withdrawn. It posts first now. What others do wrong is counted apart from what must hold, and never asserted.

--- a/tests/fronts.py
+++ b/tests/fronts.py
@@ -301,6 +301,8 @@
 class Stage:
     """A whole front in memory, with its clock in the test's hands, and a printed line for each message."""
 
+    transport = Transport
+
     def __init__(self, **caps):
         self.reactor = MemoryReactorClock()
         self.door = Door(self.reactor, read_site(configuration(**caps)))
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,387 @@
+"""The whole front in memory: what it says to clients and caches, trap by trap, as short traces."""
+
+import pytest
+from fronts import TARGETS, Stage, give_up, listing, message, probe, process, target
+
+from weldbend import interface as face
+from weldbend.checks import odd
+from weldbend.thrift import binary
+
+ORDER = "queue=order,path=7f3a9c21e0b4d655,blk=0,budget=6000,uniq=5c0f6e1a2b3d4c59,mode=j"
+DO = "queue=photo,path=7f3a9c21e0b4d655,blk=0"
+
+
+def test_answers_in_any_order_and_the_held_copy():
+    stage = Stage()
+    client = stage.client()
+    stage.say(client, process(1), process(2, got="ab12"), probe(3))
+    stage.connect()
+    stage.answer("e2", 2, "KEEP")
+    stage.answer("e2", 1, "DONE", "ver=x,born=17,use=util:0.5", b"photo")
+    stage.shows(f"""
+        client 0 < 3 probe: good True
+        e2/0 < do 0000000000000001 {DO},budget=6000,mode=j 0
+        e2/0 < do 0000000000000002 {DO},budget=6000,rank=2,mode=j,seen=ab12 0
+        client 0 < 2 process: '' {{'ok304': '1'}}
+        client 0 < 1 process: 'photo'
+    """)
+    assert not stage.door.loop.downloads
+
+
+def test_a_miss_is_filled_and_a_write_goes_to_the_origin_with_its_mark():
+    stage = Stage()
+    order = {"class": "order", "once": "5c0f6e1a2b3d4c59"}
+    stage.say(stage.client(), process(1), process(2, b"two prints", **order))
+    stage.connect()
+    stage.answer("e2", 1, "LACK")
+    stage.answer("e2", 1, "WAIT")
+    stage.answer("o1", 2, "BROKE")
+    stage.shows(f"""
+        e2/0 < do 0000000000000001 {DO},budget=6000,mode=j 0
+        o1/0 < do 0000000000000002 {ORDER} 10
+        o1/0 < two prints
+        e2/0 < do 0000000000000001 {DO},budget=6000,from=p1,rank=1,mode=j+h 0
+        e2/0 < do 0000000000000001 {DO},budget=6000,from=o1,mode=j 0
+        o1/0 < do 0000000000000002 {ORDER} 10
+        o1/0 < two prints
+    """)
+
+
+def test_a_pull_that_waits_for_its_connection_does_not_outlive_a_drain():
+    """The drain counts from the first byte sent: the pull is told to have never run, and another goes out."""
+    for change in (listing(2, target("e2", port=2, state="draining")), listing(2, *TARGETS[:1], whole=True)):
+        stage = Stage()
+        stage.say(stage.client(), process(1))
+        stage.bus(change)
+        stage.connect()
+        stage.shows(f"e1/0 < do 0000000000000001 {DO},budget=6000,mode=j 0")
+
+
+def test_a_pull_that_waits_for_its_connection_does_not_outlive_a_purge():
+    stage = Stage()
+    stage.say(stage.client(), process(1))
+    stage.turn(0.3)
+    stage.bus({"offset": 2, "ban": {"tag": 3, "ts": (stage.unix() - 0.1) * 1000}})
+    stage.connect()
+    stage.shows(f"e2/0 < do 0000000000000001 {DO},budget=5700,oldest=99,mode=j 0")
+
+
+def test_refused_and_silent_dials_prove_that_nothing_ran():
+    ended = []
+    for fail in (Stage.refuse, lambda stage: stage.turn(0.41)):
+        stage = Stage()
+        note, post = ended.append, stage.door.loop.post
+        stage.door.loop.post = lambda event, note=note, post=post: (note(event), post(event))
+        stage.say(stage.client(), process(1, once="ab", **{"class": "order"}))
+        fail(stage)
+        assert [event.result for event in ended if isinstance(event, face.Ended)] == [face.Result.UNREACHED]
+        ended.clear()
+
+
+def test_a_connection_that_breaks_may_have_run_its_pulls():
+    stage = Stage()
+    stage.say(stage.client(), process(1))
+    stage.connect()
+    stage.caches["e2", 0].transport.loseConnection()
+    stage.turn()
+    stage.connect()
+    stage.answer("e1", 1, "DONE", "-", b"photo")
+    stage.shows(f"""
+        e2/0 < do 0000000000000001 {DO},budget=6000,mode=j 0
+        e1/0 < do 0000000000000001 {DO},budget=6000,mode=j 0
+        client 0 < 1 process: 'photo'
+    """)
+
+
+def test_given_up_pulls_leave_no_trace_and_a_silent_connection_is_used_no_more():
+    stage = Stage()
+    client = stage.client()
+    stage.say(client, process(1))
+    stage.connect()
+    stage.say(client, give_up(1), process(2))
+    stage.connect()
+    stage.answer("e2", 2, "DONE", "-", b"photo", number=1)
+    stage.shows(f"""
+        e2/0 < do 0000000000000001 {DO},budget=6000,mode=j 0
+        e2/0 < undo 0000000000000001
+        e2/1 < do 0000000000000002 {DO},budget=6000,rank=2,mode=j 0
+        client 0 < 2 process: 'photo'
+    """)
+    assert stage.caches["e2", 0].transport.disconnecting and not stage.door.loop.downloads
+
+
+def test_a_late_answer_is_not_taken_for_the_pull_that_came_after():
+    stage = Stage()
+    client, other = stage.client(), stage.client()
+    stage.say(client, process(7))
+    stage.say(other, process(8))
+    stage.connect()
+    stage.answer("e2", 8, "DONE", "-", b"eight")
+    stage.say(client, give_up(7))
+    stage.say(other, process(9, id="0000000000000007"))
+    stage.connect()
+    stage.answer("e2", 7, "DONE", "-", b"of the first")
+    stage.answer("e2", 7, "DONE", "-", b"of the second", number=1)
+    stage.shows(f"""
+        e2/0 < do 0000000000000007 {DO},budget=6000,mode=j 0
+        e2/0 < do 0000000000000008 {DO},budget=6000,rank=2,mode=j 0
+        client 1 < 8 process: 'eight'
+        e2/0 < undo 0000000000000007
+        e2/1 < do 0000000000000007 {DO},budget=6000,rank=2,mode=j 0
+        client 1 < 9 process: 'of the second'
+    """)
+
+
+def test_one_answer_before_the_expiry_and_none_after():
+    stage = Stage()
+    stage.say(stage.client(), process(1, wait="800"))
+    stage.connect()
+    stage.turn(0.797)
+    stage.answer("e2", 1, "DONE", "-", b"late")
+    stage.turn(1)
+    stage.shows(f"""
+        e2/0 < do 0000000000000001 {DO},budget=800,mode=j 0
+        client 0 < 1 throttled {{'after': '500'}}
+        e2/0 < undo 0000000000000001
+    """)
+    assert not stage.door.loop.downloads
+
+
+def test_calls_that_no_download_can_be():
+    stage = Stage()
+    wrong = [
+        process(1, **{"class": "what"}),
+        process(2, id="xyz 1"),
+        process(3, key=None),
+        process(4, wait="soon"),
+        process(5, b"x" * 48_001),
+        process(6, **{"class": "order"}),
+        process(7, got="a b"),
+        process(8, kb="nan"),
+        message(binary.CALL, "fetch", 9),
+    ]
+    stage.say(stage.client(), *wrong)
+    stage.shows("""
+        client 0 < 1 exception 7: unknown content type
+        client 0 < 2 exception 7: id and key are 16 hex digits
+        client 0 < 3 exception 7: missing field 'key'
+        client 0 < 4 exception 7: a field that is no number
+        client 0 < 5 exception 7: a body too large
+        client 0 < 6 exception 7: missing field 'once'
+        client 0 < 7 exception 7: a field that cannot be passed on
+        client 0 < 8 exception 7: a number out of its bounds
+        client 0 < 9 exception 1: unknown method 'fetch'
+    """)
+
+
+@pytest.mark.parametrize("broken", [b"\x7f\xff\xff\xff", b"\x00\x00\x00\x05abcde", process(1)])
+def test_a_client_that_breaks_the_protocol_gets_what_is_open_and_is_closed(broken):
+    stage = Stage()
+    client = stage.client()
+    stage.say(client, process(1), broken, process(2))
+    stage.connect()
+    assert not client.transport.disconnecting and client.transport.producerState == "paused"
+    stage.answer("e2", 1, "DONE", "-", b"photo")
+    stage.shows(f"""
+        e2/0 < do 0000000000000001 {DO},budget=6000,mode=j 0
+        client 0 < 1 process: 'photo'
+    """)
+    assert client.transport.disconnecting
+
+
+def test_a_slow_reader_is_heard_no_further_and_loses_nothing():
+    stage = Stage()
+    client = stage.client()
+    stage.say(client, *(process(n, key=f"{n:016x}") for n in range(1, 6)))
+    for _ in range(3):
+        stage.connect()
+    client.pauseProducing()
+    for n in range(1, 6):
+        uid = next(uid for (uid, _), c in stage.caches.items() if f"{n:016x}" in c.out)
+        stage.answer(uid, n, "DONE", "-", b"x" * 240_000)
+    stage.trace.clear()
+    stage.say(client, process(6))
+    assert stage.door.waiting > 5 * 240_000 and not client.open and len(client.going) <= client.going.bound
+    stage.shows("")
+    client.resumeProducing()
+    stage.turn()
+    assert [line for line in stage.trace if "client" in line] == [
+        f"client 0 < {n} process: '240000 bytes'" for n in range(1, 6)
+    ]
+    assert list(client.open) == [6] and stage.door.waiting == 0
+
+
+def test_caches_are_read_no_further_while_too_much_waits_for_slow_readers():
+    stage = Stage()
+    client = stage.client()
+    stage.say(client, process(1))
+    stage.connect()
+    stage.door.held(stage.door.site.held + 1)
+    stage.answer("e2", 1, "DONE", "-", b"photo")
+    assert stage.caches["e2", 0].transport.producerState == "paused" and list(client.open) == [1]
+    stage.door.held(-stage.door.site.held)
+    stage.turn()
+    assert stage.trace[-1] == "client 0 < 1 process: 'photo'"
+
+
+def test_no_more_than_so_many_open_on_a_connection_and_streams_on_another():
+    stage = Stage(max_streams=3)
+    client = stage.client()
+    stage.say(client, *(process(n, **{"class": "order", "once": f"a{n}"}) for n in range(1, 40)))
+    assert len(client.open) == 32
+    stage.connect()
+    assert {len(c.out) for c in stage.caches.values()} <= {1, 2, 3}
+    assert sum(len(c.out) for c in stage.caches.values()) == 32
+    stage.answer("o1", 1, "DONE", "-", b"ok")
+    assert len(client.open) == 32 and 33 in client.open
+
+
+def test_a_new_cache_on_an_old_address_and_one_that_started_anew():
+    stage = Stage()
+    client = stage.client()
+    stage.say(client, process(1))
+    stage.connect()
+    stage.bus(
+        listing(2, target("e9", port=2), target("e2", port=2, state="removed"), target("e1", state="removed"))
+    )
+    stage.say(client, process(2))
+    stage.connect()
+    stage.answer("e2", 1, "DONE", "-", b"finished")
+    assert stage.caches["e2", 0].transport.disconnecting
+    stage.turn(1)
+    stage.say(client, process(3))
+    old = stage.caches["e9", 0]
+    stage.bus(listing(3, target("e9", port=2, boot=(stage.unix() - 2) * 1000)))
+    assert not old.transport.disconnecting  # made after that start: it leads to the new process
+    stage.bus(listing(4, target("e9", port=2, boot=stage.unix() * 1000)))
+    assert old.transport.disconnecting
+    assert stage.trace[:3] == [
+        f"e2/0 < do 0000000000000001 {DO},budget=6000,mode=j 0",
+        f"e9/0 < do 0000000000000002 {DO},budget=6000,rank=2,mode=j 0",
+        "client 0 < 1 process: 'finished'",
+    ]
+
+
+def test_garbage_from_a_cache_ends_its_connection_and_an_unknown_answer_nothing():
+    stage = Stage()
+    odd.clear()
+    stage.say(stage.client(), process(1))
+    stage.connect()
+    stage.answer("e2", 99, "DONE", "-", b"whose")
+    assert not stage.caches["e2", 0].lost
+    stage.caches["e2", 0].dataReceived(b"0000000000000001 DONE - 999999\r\n")
+    stage.turn()
+    stage.connect()
+    assert stage.trace[-1].startswith("e1/0 < do 0000000000000001")
+    assert odd == {
+        "answers to nothing asked": 1,
+        "garbage from a cache": 1,
+    }
+
+
+def test_a_connection_about_to_be_closed_as_idle_is_not_used():
+    stage = Stage(conn_idle_us=2_000_000)
+    client = stage.client()
+    stage.say(client, process(1))
+    stage.connect()
+    stage.answer("e2", 1, "DONE", "-", b"one")
+    stage.turn(1.7)
+    stage.say(client, process(2))
+    assert stage.caches["e2", 0].transport.disconnecting
+    stage.connect()
+    assert stage.trace[-1].startswith("e2/1 < do 0000000000000002")
+
+
+def test_a_fault_in_one_download_abandons_that_one():
+    stage = Stage()
+    router = stage.door.loop.router
+    inner = router.prefilter.take
+    router.prefilter.take = lambda dl: 1 / 0 if dl.asked.part == 7 else inner(dl)
+    stage.say(stage.client(), process(1, nth="7"), process(2))
+    stage.connect()
+    stage.answer("e2", 2, "DONE", "-", b"photo")
+    stage.shows(f"""
+        client 0 < 1 abandoned
+        e2/0 < do 0000000000000002 {DO},budget=6000,mode=j 0
+        client 0 < 2 process: 'photo'
+    """)
+    assert stage.door.loop.counts["faults"] == 1 and not stage.door.loop.downloads
+
+
+def test_probes_of_caches():
+    stage = Stage()
+    stage.say(stage.client(), process(1))
+    stage.connect()
+    loop, told = stage.door.loop, []
+    loop.post = told.append
+    cache = loop.names.number("e2")
+    loop.perform(face.Probe(cache))
+    loop.perform(face.Probe(loop.names.number("e1")))
+    stage.turn()
+    stage.caches["e2", 0].dataReceived(b"p1 FIT use=util:0.61;inflight:7 0\r\n\r\n")
+    assert stage.trace[-1] == "e2/0 < top p1"
+    assert [(note.result.name, note.load) for note in told] == [
+        ("UNREACHED", None),
+        ("FULFILLED", {"util": 0.61, "inflight": 7.0}),
+    ]
+
+
+def test_told_to_stop_it_goes_on_taking_and_ends_when_all_is_answered():
+    stage = Stage()
+    client = stage.client()
+    stage.say(client, process(1))
+    stage.connect()
+    stage.door.terminate()
+    stage.say(stage.client(), probe(1), process(2))
+    stage.answer("e2", 2, "DONE", "-", b"taken after")
+    stage.turn(0.75)
+    assert not stage.reactor.hasStopped
+    stage.answer("e2", 1, "DONE", "-", b"taken before")
+    stage.turn(0.03)
+    stage.turn(0.03)
+    assert stage.reactor.hasStopped
+    stage.shows(f"""
+        e2/0 < do 0000000000000001 {DO},budget=6000,mode=j 0
+        client 1 < 1 probe: good False
+        e2/0 < do 0000000000000002 {DO},budget=6000,rank=2,mode=j 0
+        client 1 < 2 process: 'taken after'
+        client 0 < 1 process: 'taken before'
+    """)
+
+
+def test_the_bus_is_read_on_after_each_loss():
+    stage = Stage()
+
+    def bus():
+        """The newest connection to the bus, brought up, and what was asked on it."""
+        factory = [made[2] for made in stage.reactor.tcpClients if made[1] == 9092][-1]
+        connection, transport = factory.buildProtocol(None), Stage.transport()
+        connection.makeConnection(transport)
+        transport.protocol = connection
+        asked = dict(line.split(": ") for line in transport.value().decode().splitlines()[1:] if line)
+        return connection, asked["Last-Event-Id"]
+
+    def event(raw):
+        return f"id: {raw['offset']}\ndata: {raw}\n\n".replace("'", '"').replace("False", "false").encode()
+
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+    first, asked = bus()
+    seen = [asked]
+    first.dataReceived(head + event(listing(2, target("e7", port=7))) + b"id: 3\ndata: no event\n\n: hm\n\n")
+    first.transport.loseConnection()
+    stage.turn(0.06)
+    second, asked = bus()
+    seen.append(asked)
+    second.dataReceived(
+        head + event(listing(3, target("e8", port=8))) + event(listing(4, target("e9", port=9)))
+    )
+    stage.turn(2.6)  # not even a comment: the bus is silent
+    stage.turn(1.0)
+    third, asked = bus()
+    seen.append(asked)
+    third.dataReceived(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+    stage.turn(1.1)
+    seen.append(bus()[1])
+    assert seen == ["1", "3", "4", "4"]
+    listed = {stage.door.loop.names.uids[n] for n in stage.door.loop.pool.lanes}
+    assert listed == {"e1", "e2", "p1", "o1", "e7", "e9"}
--- a/weldbend/caches/connection.py
+++ b/weldbend/caches/connection.py
@@ -11,7 +11,7 @@
 from zope.interface import implementer
 
 from weldbend.buffers.ring import Ring
-from weldbend.checks import must
+from weldbend.checks import must, odd
 from weldbend.lines import answers, commands
 from weldbend.lines.answers import Answer, BadAnswer, Parser
 
@@ -135,6 +135,7 @@
             while not self.resting and (answer := self.parser.next()):
                 self.answered(answer)
         except BadAnswer:  # nothing that follows can be trusted
+            odd["garbage from a cache"] += 1
             self.drop()
 
     def rest(self, resting: bool) -> None:
--- a/weldbend/caches/pool.py
+++ b/weldbend/caches/pool.py
@@ -15,7 +15,7 @@
 from twisted.python.failure import Failure
 
 from weldbend.caches.connection import CacheConnection, Lost, Pull
-from weldbend.checks import must
+from weldbend.checks import odd
 from weldbend.lines import commands
 from weldbend.lines.answers import Answer
 
@@ -127,7 +127,7 @@
 
     def unknown(self, answer: Answer) -> None:
         if not self.pool.probed(self.cache, answer):
-            must(False, "a cache answers only what it was asked")
+            odd["answers to nothing asked"] += 1
 
     def withdraw(self, stale: Callable[[Pull], bool]) -> None:
         gone = [pull for pull in self.waiting if stale(pull)]
--- a/weldbend/checks.py
+++ b/weldbend/checks.py
@@ -1,8 +1,12 @@
-"""What must hold: asserted in debug builds, counted in release builds (`python -O`)."""
+"""What must hold: asserted in debug builds, counted in release builds (`python -O`).
+
+What others do wrong is counted in every build and never asserted: it must not stop a front.
+"""
 
 from collections import Counter
 
 broken: Counter[str] = Counter()
+odd: Counter[str] = Counter()  # what others send that nothing can be made of
 
 
 def must(holds: object, what: str) -> bool:
--- a/weldbend/clients/connection.py
+++ b/weldbend/clients/connection.py
@@ -14,7 +14,7 @@
 from zope.interface import implementer
 
 from weldbend.buffers.ring import Ring
-from weldbend.checks import must
+from weldbend.checks import must, odd
 from weldbend.thrift import messages
 from weldbend.thrift.binary import BadMessage
 from weldbend.thrift.framing import BadFrame, next_frame
@@ -95,6 +95,7 @@
                     break
                 self.called(messages.read_call(data))
         except (BadFrame, BadMessage):
+            odd["clients that break the protocol"] += 1
             self.finish_and_close()
         if self.ended:
             self.came.skip(len(self.came))
@@ -167,7 +168,7 @@
         return not (self.open or self.came or self.going or self.behind)
 
     def finish_and_close(self) -> None:
-        """Hear no more of a client that breaks the protocol; what is open still gets its answer."""
+        """Hear no more of a client; what is open still gets its answer."""
         self.ended = True
         self.close_if_done()
 
--- a/weldbend/front/life.py
+++ b/weldbend/front/life.py
@@ -87,10 +87,10 @@
         cpu = (used.ru_utime + used.ru_stime) * 1e3
         logger.info(
             "counts {}; cpu {:.0f} ms, {:.2f} a download; memory {:.0f} MB at most; clients {} ({} at most); "
-            "caches {} ({} at most); answers waiting {} kB at most; bus lost {} times; broken {}",
+            "caches {} ({} at most); answers waiting {} kB at most; bus lost {} times; odd {}; broken {}",
             dict(counts), cpu, cpu / max(counts["downloads"], 1), used.ru_maxrss / 1024,
             len(self.listener.clients), self.most_clients, caches, max(self.most_caches, caches),
-            self.most_waiting // 1000, self.bus.losses, dict(checks.broken),
+            self.most_waiting // 1000, self.bus.losses, dict(+checks.odd), dict(checks.broken),
         )  # fmt: skip
         self.most_caches = max(self.most_caches, caches)
         if self.told is None:
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -14,10 +14,10 @@
 from loguru import logger
 
 from weldbend import interface as face
-from weldbend.bus.events import Ban, Numbered, Topology
+from weldbend.bus.events import Ban, Numbered, Target, Topology
 from weldbend.caches.connection import Lost, Pull
 from weldbend.caches.pool import Pool
-from weldbend.checks import must
+from weldbend.checks import must, odd
 from weldbend.clients.connection import Call
 from weldbend.front import words
 from weldbend.front.clock import Clock
@@ -119,26 +119,33 @@
     # What the bus tells.
 
     def tell(self, numbered: Numbered) -> None:
+        """An event of the bus: told to the decisions first, then what waits and is stale for it is withdrawn.
+
+        The other way round they would hear of the withdrawal alone, and send the same pull again.
+        """
         match numbered.event:
             case Topology(whole, targets):
                 known = [target for target in targets if target.kind in self.site.roles]
-                must(len(known) == len(targets), "the list names only known kinds")
-                entries = tuple(self.names.entry(target) for target in known)
-                named = {entry.id for entry in entries}
-                for target, entry in zip(known, entries, strict=True):
-                    if entry.phase is face.Phase.GONE:
-                        self.pool.gone(entry.id)
-                    else:
-                        usable = entry.phase is face.Phase.READY
-                        since = entry.started or -math.inf
-                        self.pool.listed(entry.id, target.host, target.port, since, usable)
-                for missing in self.listed - named if whole else ():
-                    self.pool.gone(missing)
-                self.listed = named if whole else self.listed | named
-                self.post(face.Listed(face.Scale.WHOLE if whole else face.Scale.CHANGES, entries))
+                odd["list entries of unknown kind"] += len(targets) - len(known)
+                self.list(whole, known)
             case Ban(key, group, at):
-                self.pool.purged(key, group)
                 self.post(face.Purged(key, group, self.clock.age(at)))
+                self.pool.purged(key, group)
+
+    def list(self, whole: bool, targets: list[Target]) -> None:
+        entries = tuple(self.names.entry(target) for target in targets)
+        named = {entry.id for entry in entries}
+        self.post(face.Listed(face.Scale.WHOLE if whole else face.Scale.CHANGES, entries))
+        for target, entry in zip(targets, entries, strict=True):
+            if entry.phase is face.Phase.GONE:
+                self.pool.gone(entry.id)
+            else:
+                since = -math.inf if entry.started is None else entry.started
+                usable = entry.phase is face.Phase.READY
+                self.pool.listed(entry.id, target.host, target.port, since, usable)
+        for missing in self.listed - named if whole else ():
+            self.pool.gone(missing)
+        self.listed = named if whole else self.listed | named
 
     # What the decisions want.
 
