--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -385,3 +385,28 @@
     assert seen == ["1", "3", "4", "4"]
     listed = {stage.door.loop.names.uids[n] for n in stage.door.loop.pool.lanes}
     assert listed == {"e1", "e2", "p1", "o1", "e7", "e9"}
+
+
+def test_at_the_bound_of_descriptors_idle_clients_make_room_and_no_more_are_accepted():
+    stage = Stage()
+    listener, port = stage.door.listener, []
+    listener.most = 3
+
+    class Port:
+        def pauseProducing(self):
+            port.append("rest")
+
+        def resumeProducing(self):
+            port.append("accept")
+
+    listener.port = Port()
+    busy, idle = stage.client(), stage.client()
+    stage.say(busy, process(1))
+    late = stage.client()
+    assert idle.transport.disconnecting and not busy.transport.disconnecting
+    stage.say(late, process(2))
+    stage.say(stage.client(), process(3))
+    stage.connect()
+    stage.answer("e2", 1, "DONE", "-", b"photo")
+    busy.transport.loseConnection()
+    assert port == ["rest", "accept"] and len(listener.clients) == 2
--- a/weldbend/clients/listener.py
+++ b/weldbend/clients/listener.py
@@ -32,7 +32,7 @@
         if len(self.clients) >= self.most:
             for spare in [other for other in self.clients if other is not client and other.idle()]:
                 spare.close()
-            self.rest(True)
+            self.rest(len(self.clients) >= self.most)
 
     def closed(self, client: Client) -> None:
         self.clients.discard(client)
