Freeze what is loaded before serving: a full collection stopped the front for 46 ms

Checked: one full collection of the 41,600 objects that the imports leave takes 46 ms here (probe), 0.01 ms once they are frozen. Ruled out: logging (one line in ten seconds) and single costs in the profile (none above 0.1 s in 20 s). Front.start freezes after the first list. Also: faults are logged ten to a report, so that a flood of them cannot block on the log.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Build, test, lint and run weldbend.
+PYTHON := .venv/bin/python
+CONFIG ?= deploy/example.json
+
+.PHONY: build test lint run
+
+build: .venv/built
+
+.venv/built: requirements.txt requirements-dev.txt pyproject.toml
+	python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	.venv/bin/pip -q install --no-deps -e .
+	touch $@
+
+test: build
+	$(PYTHON) -m pytest -q
+
+lint: build
+	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
+
+run: build
+	$(PYTHON) -O -m weldbend serve --config $(CONFIG)
--- a/weldbend/caches/pool.py
+++ b/weldbend/caches/pool.py
@@ -152,11 +152,10 @@
 
 class Pool:
     def __init__(
-        self, reactor: Any, timers: Timers, bounds: Bounds, probed: Callable[[int, bool, Answer], None]
+        self, reactor: Any, timers: Timers, bounds: Bounds, probed: Callable[[int, Answer], bool]
     ) -> None:
-        self.reactor, self.timers, self.bounds, self.tell_probed = reactor, timers, bounds, probed
+        self.reactor, self.timers, self.bounds, self.probed = reactor, timers, bounds, probed
         self.lanes: dict[int, Lane] = {}
-        self.probes: dict[str, int] = {}
         self.resting = False
 
     def listed(self, cache: int, host: str, port: int, since: float, usable: bool) -> None:
@@ -210,17 +209,9 @@
         lane = self.lanes.get(cache)
         up = [c for c in lane.connections if c.takes(tag)] if lane else []
         if up:
-            self.probes[tag] = cache
             up[0].write((commands.top if report else commands.ping)(tag))
         return bool(up)
 
-    def probed(self, cache: int, answer: Answer) -> bool:
-        if self.probes.get(answer.name) != cache or answer.word not in ("FIT", "UNFIT"):
-            return False
-        del self.probes[answer.name]
-        self.tell_probed(cache, answer.word == "FIT", answer)
-        return True
-
     def all(self) -> Iterable[CacheConnection]:
         return (connection for lane in self.lanes.values() for connection in lane.connections)
 
--- a/weldbend/front/life.py
+++ b/weldbend/front/life.py
@@ -4,6 +4,7 @@
 taken has its answer, not before clients have had time to notice.
 """
 
+import gc
 import resource
 import signal
 from typing import Any
@@ -54,6 +55,8 @@
             self.loop.tell(numbered)
         self.loop.turn()
         self.bus.start()
+        gc.collect()
+        gc.freeze()  # what is loaded by now stays: a full collection of it would stop every download
         self.listener.listen(self.reactor, self.site.host, self.site.port)
         self.ready = True
         self.timers.after(REPORT, self.report)
@@ -97,6 +100,7 @@
             dict(+checks.odd), dict(checks.broken),
         )  # fmt: skip
         self.most_caches = max(self.most_caches, caches)
+        self.loop.shown = 0
         if self.told is None:
             self.timers.after(REPORT, self.report)
 
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -46,6 +46,9 @@
         return any(not pull.over for pull in self.pulls)
 
 
+MOST_SHOWN = 10  # faults logged between two lines of counters
+
+
 class Loop:
     def __init__(self, reactor: Any, site: Site, clock: Clock, timers: Timers) -> None:
         self.reactor, self.site, self.clock, self.timers = reactor, site, clock, timers
@@ -57,7 +60,7 @@
         self.listed: set[int] = set()
         self.turning = False
         self.handed: face.Event | None = None  # the event that the decisions are at
-        self.serial = self.probes = 0
+        self.serial = self.probes = self.shown = 0
         self.asked: dict[str, tuple[int, float]] = {}
         self.counts: Counter[str] = Counter()
 
@@ -68,8 +71,7 @@
         try:
             self.admit(call)
         except Exception:
-            self.counts["faults"] += 1
-            logger.error("fault in a call: {}", traceback.format_exc())
+            self.show("a call")
             if not call.answered:
                 call.abandon()
 
@@ -176,10 +178,16 @@
             self.handed = coming.popleft()
             yield self.handed
 
-    def fault(self, at: face.Event | face.Action | None) -> None:
-        """Log the fault at hand, and abandon the one download that it is about."""
+    def show(self, at: object) -> None:
+        """Count a fault, and log it with its trace; a flood of them must not fill the log."""
         self.counts["faults"] += 1
-        logger.error("fault at {}: {}", at, traceback.format_exc())
+        self.shown += 1
+        if self.shown <= MOST_SHOWN:
+            logger.error("fault at {:.200}: {}", str(at), traceback.format_exc())
+
+    def fault(self, at: face.Event | face.Action | None) -> None:
+        """Abandon the one download that a fault is about."""
+        self.show(at)
         if dl := self.downloads.get(getattr(at, "id", "")):
             self.give_up(dl)
 
@@ -188,8 +196,7 @@
         try:
             call(dl, *args)
         except Exception:
-            self.counts["faults"] += 1
-            logger.error("fault in download {}: {}", dl.name, traceback.format_exc())
+            self.show(dl.name)
             self.give_up(dl)
 
     def give_up(self, dl: Download) -> None:
@@ -280,7 +287,8 @@
             dl.call.fulfill(how.body, how.word == "KEEP")
             self.close(dl)
         number = dl.pulls.index(pull)
-        if isinstance(how, Answer) and not must(how.word in words.RESULTS, "a pull ends with a pull's word"):
+        if isinstance(how, Answer) and how.word not in words.RESULTS:
+            odd["pulls answered as probes"] += 1
             how = face.Result.ERROR
         self.post(words.ended(dl.name, number, how, self.clock.now() - dl.handed[number], dl.closed))
         self.forget(dl)
@@ -311,9 +319,11 @@
             cache, since = self.asked.pop(tag)
             self.post(face.Probed(cache, result, self.clock.now() - since, None))
 
-    def probed(self, cache: int, fit: bool, answer: Answer) -> None:
-        if answer.name in self.asked:
-            _, since = self.asked.pop(answer.name)
-            result = face.Result.FULFILLED if fit else face.Result.ERROR
-            use = words.load(answer.fields.get("use"))
-            self.post(face.Probed(cache, result, self.clock.now() - since, use))
+    def probed(self, cache: int, answer: Answer) -> bool:
+        """An answer that belongs to no pull: whether it is one of a probe."""
+        if answer.word not in words.FITNESS or self.asked.get(answer.name, (None,))[0] != cache:
+            return False
+        _, since = self.asked.pop(answer.name)
+        use = words.load(answer.fields.get("use"))
+        self.post(face.Probed(cache, words.FITNESS[answer.word], self.clock.now() - since, use))
+        return True
--- a/weldbend/front/words.py
+++ b/weldbend/front/words.py
@@ -17,6 +17,7 @@
     "BROKE": face.Result.ERROR,
     "PAST": face.Result.MOOT,
 }
+FITNESS = {"FIT": face.Result.FULFILLED, "UNFIT": face.Result.ERROR}
 LOSSES = {
     Lost.UNREACHED: face.Result.UNREACHED,
     Lost.RESET: face.Result.RESET,
