--- a/weldbend/cli.py
+++ b/weldbend/cli.py
@@ -1,7 +1,6 @@
 """The command line: serve, check of a configuration, version."""
 
 import sys
-from importlib import metadata
 from pathlib import Path
 
 import click
@@ -63,6 +62,8 @@
 @main.command()
 def version() -> None:
     """Print the version."""
+    from importlib import metadata
+
     click.echo(
         f"weldbend {__version__}, Twisted {metadata.version('twisted')}, Python {sys.version.split()[0]}"
     )
