--- a/weldbend/front/life.py
+++ b/weldbend/front/life.py
@@ -142,17 +142,15 @@
 
     def __call__(self, event: LogEvent) -> None:
         if event["log_level"] in (LogLevel.error, LogLevel.critical):
-            self.front.loop.counts["faults"] += 1
-            logger.error("fault: {}", formatEvent(event) + traceback_of(event))
-
-
-def traceback_of(event: LogEvent) -> str:
-    failure = event.get("log_failure")
-    return f" {failure.getTraceback()}" if failure else ""
+            failure = event.get("log_failure")
+            self.front.loop.show(formatEvent(event), failure.getTraceback() if failure else " ")
 
 
 def serve(site: Site) -> bool:
     """Run one front in this process until it is told to end; false if it could not start."""
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    least = site.sockets if most == resource.RLIM_INFINITY else min(site.sockets, most)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (least, most))
     from twisted.internet import reactor  # installs the reactor: only a process that serves wants one
 
     front = Front(reactor, site)
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -178,12 +178,12 @@
             self.handed = coming.popleft()
             yield self.handed
 
-    def show(self, at: object) -> None:
+    def show(self, at: object, trace: str | None = None) -> None:
         """Count a fault, and log it with its trace; a flood of them must not fill the log."""
         self.counts["faults"] += 1
         self.shown += 1
         if self.shown <= MOST_SHOWN:
-            logger.error("fault at {:.200}: {}", str(at), traceback.format_exc())
+            logger.error("fault at {:.200}: {}", str(at), trace or traceback.format_exc())
 
     def fault(self, at: face.Event | face.Action | None) -> None:
         """Abandon the one download that a fault is about."""
--- a/weldbend/front/site.py
+++ b/weldbend/front/site.py
@@ -34,6 +34,7 @@
     reports: bool  # whether caches report their load
     most_open: int
     bounds: Bounds
+    sockets: int  # descriptors that the process may hold
     clients: int  # connections of clients
     held: int  # bytes of answers that wait for slow readers
 
@@ -72,6 +73,7 @@
             dial=caps["dial_timeout_us"] / 1e6,
             descriptors=sockets - clients - RESERVE,
         ),
+        sockets=sockets,
         clients=clients,
         held=int(limits["memory_mb"]) * 2**20 // 4,
     )
