Do not read a client's calls one inside the other; test the guards that a mutation outlived

Found in review and shown by a test: behind 31 open downloads each call that is turned back made room for the next and read it from inside, a thousand deep in one ring: a RecursionError, and calls lost with it. At fault: Client.finish calling Client.read again. Each guard of the network code was taken out once; seven survived the tests, each has a test now (late answers, faults while acting, a standstill past an expiry, a purge of this moment, a pull given up before it went out, the bound on open downloads).

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,10 +1,11 @@
 """The whole front in memory: what it says to clients and caches, trap by trap, as short traces."""
 
 import pytest
-from fronts import TARGETS, Stage, give_up, listing, message, probe, process, target
+from fronts import KEY, TARGETS, Stage, give_up, listing, message, probe, process, target
 
 from weldbend import interface as face
 from weldbend.checks import odd
+from weldbend.front import words
 from weldbend.thrift import binary
 
 ORDER = "queue=order,path=7f3a9c21e0b4d655,blk=0,budget=6000,uniq=5c0f6e1a2b3d4c59,mode=j"
@@ -116,7 +117,8 @@
     stage.say(client, process(7))
     stage.say(other, process(8))
     stage.connect()
-    stage.answer("e2", 8, "DONE", "-", b"eight")
+    stage.turn(0.01)
+    stage.answer("e2", 8, "DONE", "-", b"eight")  # heard of since: the connection stays in use
     stage.say(client, give_up(7))
     stage.say(other, process(9, id="0000000000000007"))
     stage.connect()
@@ -147,6 +149,39 @@
     assert not stage.door.loop.downloads
 
 
+def test_after_a_standstill_past_an_expiry_the_decisions_still_have_the_last_word():
+    stage = Stage()
+    stage.say(stage.client(), process(1, wait="800"))
+    stage.connect()
+    stage.turn(0.9)
+    assert "client 0 < 1 throttled {'after': '500'}" in stage.trace and not stage.door.loop.downloads
+
+
+def test_a_purge_of_this_moment_is_no_leave_for_any_age():
+    stage = Stage()
+    stage.bus({"offset": 2, "ban": {"url": KEY, "ts": stage.unix() * 1000}})
+    stage.say(stage.client(), process(1))
+    stage.connect()
+    stage.shows(f"e2/0 < do 0000000000000001 {DO},budget=6000,oldest=1,mode=j 0")
+
+
+def test_what_is_given_up_before_it_went_out_never_ran():
+    stage, told = Stage(), []
+    client = stage.client()
+    stage.say(client, process(1))
+    post, stage.door.loop.post = stage.door.loop.post, lambda event: (told.append(event), post(event))
+    stage.say(client, give_up(1))
+    stage.connect()
+    assert [event.result for event in told if isinstance(event, face.Ended)] == [face.Result.MOOT]
+    stage.shows("")
+
+
+def test_more_than_the_site_allows_open_is_throttled():
+    stage = Stage(open_cap=2)
+    stage.say(stage.client(), process(1), process(2), process(3))
+    stage.shows("client 0 < 3 throttled")
+
+
 def test_calls_that_no_download_can_be():
     stage = Stage()
     wrong = [
@@ -236,6 +271,15 @@
     assert len(client.open) == 32 and 33 in client.open
 
 
+def test_a_thousand_wrong_calls_behind_a_full_connection():
+    stage = Stage()
+    client = stage.client()
+    stage.say(client, *(process(n, **{"class": "order", "once": f"a{n}"}) for n in range(1, 32)))
+    stage.say(client, *(process(n, key=None) for n in range(100, 1100)))
+    assert len(client.open) == 31 and not stage.door.loop.counts["faults"]
+    assert sum("exception 7" in line for line in stage.trace) == 1000
+
+
 def test_a_new_cache_on_an_old_address_and_one_that_started_anew():
     stage = Stage()
     client = stage.client()
@@ -308,6 +352,25 @@
     assert stage.door.loop.counts["faults"] == 1 and not stage.door.loop.downloads
 
 
+def test_a_fault_at_the_door_leaves_the_connection_that_others_share(monkeypatch):
+    stage = Stage()
+    ended = words.ended
+    monkeypatch.setattr(words, "ended", lambda name, *rest: 1 / 0 if name == "1" else ended(name, *rest))
+    loop, perform = stage.door.loop, stage.door.loop.perform
+    loop.perform = lambda act: 1 / 0 if isinstance(act, face.SendPull) and act.id == "3" else perform(act)
+    stage.say(stage.client(), process(1), process(2), process(3), process(4))
+    stage.connect()
+    for number in (1, 2, 4):
+        stage.answer("e2", number, "DONE", "-", b"photo")
+    assert [line for line in stage.trace if "client" in line] == [
+        "client 0 < 3 abandoned",
+        "client 0 < 1 process: 'photo'",
+        "client 0 < 2 process: 'photo'",
+        "client 0 < 4 process: 'photo'",
+    ]
+    assert not stage.caches["e2", 0].lost and loop.counts["faults"] == 2
+
+
 def test_probes_of_caches():
     stage = Stage()
     stage.say(stage.client(), process(1))
--- a/weldbend/clients/connection.py
+++ b/weldbend/clients/connection.py
@@ -75,7 +75,7 @@
     behind: deque[bytes] = field(default_factory=deque)  # whole answers that the ring has no room for
     open: dict[int, Call] = field(default_factory=dict)
     transport: Any = None
-    paused = ended = lost = resting = False
+    paused = ended = lost = resting = reading = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -88,6 +88,9 @@
 
     def read(self) -> None:
         """Take what has come whole, but no more than is open at once, nor of one that reads no answers."""
+        if self.reading:  # a call turned back at once makes room for the next: not one inside the other
+            return
+        self.reading = True
         try:
             while not self.ended and len(self.open) < MOST_OPEN and not self.behind:
                 data = next_frame(self.came, LONGEST_FRAME)
@@ -97,6 +100,8 @@
         except (BadFrame, BadMessage):
             odd["clients that break the protocol"] += 1
             self.finish_and_close()
+        finally:
+            self.reading = False
         if self.ended:
             self.came.skip(len(self.came))
         self.rest(self.ended or self.came.free() < CHUNK)
