--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import pytest
 from fronts import answer_text, configuration, probe, process, target
@@ -48,7 +49,7 @@
         path = tmp_path / "front.json"
         path.write_text(
             configuration(
-                targets=(target("e1", port=cache.getsockname()[1]),),
+                targets=(target("e1", port=cache.getsockname()[1]) | {"capacity_hint": 1000},),
                 listen=listen,
                 bus=f"127.0.0.1:{bus.getsockname()[1]}",
             )
@@ -122,6 +123,35 @@
             program.end()
 
 
+def test_within_its_limits_with_a_third_of_the_descriptors_and_readers_that_wait(site):
+    """341 connections, two of which ask for all they may and read nothing until the last answer is given."""
+    path, address, cache = site
+    program = Program(path)
+    try:
+        clients = [ask(address, probe(1)) for _ in range(339)]
+        assert {heard(client) for client in clients} == {"1 probe: good True"}
+        asked = [[process(n, key=f"{n:016x}") for n in range(32 * k + 1, 32 * k + 33)] for k in (0, 1)]
+        slow = [ask(address, *frames) for frames in asked]
+        links = [cache.accept()[0] for _ in slow]
+        streams = [link.makefile("rb") for link in links]
+        body = b"x" * 240_000
+        for link, names in [
+            (link, commands(stream, 32)) for link, stream in zip(links, streams, strict=True)
+        ]:
+            for number in names:
+                link.sendall(b"%016x DONE - %d\r\n%b\r\n" % (number, len(body), body))
+        number = f"/proc/{program.process.pid}"
+        for client, frames in zip(slow, asked, strict=True):
+            assert len({heard(client) for _ in frames}) == 32
+        assert len(list(Path(number, "fd").iterdir())) < 400
+        peak = re.search(r"VmHWM:\s+(\d+) kB", Path(number, "status").read_text())
+        assert int(peak[1]) < 150_000
+        for each in (*clients, *slow, *links, *streams):
+            each.close()
+    finally:
+        program.end()
+
+
 def test_what_it_cannot_start_from_is_one_line_and_an_exit(site, tmp_path):
     path, address, _ = site
     text = path.read_text()
