--- a/weldbend/front/life.py
+++ b/weldbend/front/life.py
@@ -92,11 +92,11 @@
         cpu = (used.ru_utime + used.ru_stime) * 1e3
         logger.info(
             "counts {}; cpu {:.0f} ms, {:.2f} a download; memory {:.0f} MB at most; clients {} ({} at most); "
-            "caches {} ({} at most); answers waiting {} kB at most; timers late {:.1f} ms at most; "
-            "bus lost {} times; odd {}; broken {}",
+            "caches {} ({} at most); answers waiting {} kB at most; timers late {:.1f} ms, "
+            "turns {:.1f} ms at most; bus lost {} times; odd {}; broken {}",
             dict(counts), cpu, cpu / max(counts["downloads"], 1), used.ru_maxrss / 1024,
             len(self.listener.clients), self.most_clients, caches, max(self.most_caches, caches),
-            self.most_waiting // 1000, self.timers.latest * 1e3, self.bus.losses,
+            self.most_waiting // 1000, self.timers.latest * 1e3, self.loop.longest * 1e3, self.bus.losses,
             dict(+checks.odd), dict(checks.broken),
         )  # fmt: skip
         self.most_caches = max(self.most_caches, caches)
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -61,6 +61,7 @@
         self.turning = False
         self.handed: face.Event | None = None  # the event that the decisions are at
         self.serial = self.probes = self.shown = 0
+        self.longest = 0.0  # seconds of the longest turn
         self.asked: dict[str, tuple[int, float]] = {}
         self.counts: Counter[str] = Counter()
 
@@ -159,7 +160,7 @@
 
     def turn(self) -> None:
         """Hand over all that has come, and carry out what is answered."""
-        self.turning = False
+        self.turning, since = False, self.clock.now()
         coming, self.events = deque(self.events), []
         while coming:
             try:
@@ -172,6 +173,7 @@
                     self.perform(action)
                 except Exception:
                     self.fault(action)
+        self.longest = max(self.longest, self.clock.now() - since)
 
     def each(self, coming: deque[face.Event]) -> Iterator[face.Event]:
         while coming:
