Answer clients that end their sending side and still listen

At fault: Client was no half-closeable protocol, so Twisted ended the connection at once. It takes what came whole, answers it and closes then; a test in memory and one with the program itself.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -57,9 +57,11 @@
         yield path, address, cache
 
 
-def ask(address, *frames):
+def ask(address, *frames, shut=False):
     with socket.create_connection(address, LONG) as client:
         client.sendall(b"".join(frames))
+        if shut:
+            client.shutdown(socket.SHUT_WR)
         return client.makefile("rb")
 
 
@@ -109,12 +111,12 @@
     for _ in range(2):
         program = Program(path)
         try:
-            client = ask(address, process(1))
+            client = ask(address, process(1), shut=True)
             link = cache.accept()[0]
             stream = link.makefile("rb")
             assert commands(stream, 1) == [1]
             link.sendall(b"%016x DONE - 2\r\nok\r\n" % 1)
-            assert heard(client) == "1 process: 'ok'"
+            assert heard(client) == "1 process: 'ok'" and client.read() == b""
             program.process.kill()
             program.process.wait(LONG)
             for each in (client, link, stream):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -239,6 +239,30 @@
     assert client.transport.disconnecting
 
 
+@pytest.mark.parametrize("count", [32, 40])
+def test_a_client_that_ends_its_sending_side_gets_every_answer(count):
+    stage = Stage()
+    client, gone = stage.client(), stage.client()
+    order = {"class": "order"}
+    stage.say(client, *(process(n, once=f"a{n}", **order) for n in range(1, count + 1)), process(41)[:9])
+    client.readConnectionLost()
+    gone.readConnectionLost()
+    assert gone.transport.disconnecting and len(client.open) == 32
+    while stage.dials():
+        stage.connect()
+    while client.open:
+        assert not client.transport.disconnecting
+        number = min(client.open)
+        link = next(at for (_, at), c in stage.caches.items() if f"{number:016x}" in c.out)
+        stage.answer("o1", number, "DONE", "-", b"ok", number=link)
+        stage.connect()
+    answers = [line for line in stage.trace if "client" in line]
+    assert (
+        answers == [f"client 0 < {n} process: 'ok'" for n in range(1, count + 1)]
+        and client.transport.disconnecting
+    )
+
+
 def test_a_slow_reader_is_heard_no_further_and_loses_nothing():
     stage = Stage()
     client = stage.client()
--- a/weldbend/clients/connection.py
+++ b/weldbend/clients/connection.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from twisted.internet.interfaces import IPushProducer
+from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
 from twisted.internet.protocol import Protocol as Connection
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -66,7 +66,7 @@
     def held(self, change: int) -> None: ...
 
 
-@implementer(IPushProducer)
+@implementer(IPushProducer, IHalfCloseableProtocol)
 @dataclass(eq=False)
 class Client(Connection):
     taker: Taker
@@ -75,7 +75,7 @@
     behind: deque[bytes] = field(default_factory=deque)  # whole answers that the ring has no room for
     open: dict[int, Call] = field(default_factory=dict)
     transport: Any = None
-    paused = ended = lost = resting = reading = False
+    paused = ended = lost = resting = reading = shut = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -102,10 +102,23 @@
             self.finish_and_close()
         finally:
             self.reading = False
+        if self.shut and not self.behind and len(self.open) < MOST_OPEN:
+            self.ended = True  # all that came whole is taken
         if self.ended:
             self.came.skip(len(self.came))
         self.rest(self.ended or self.came.free() < CHUNK)
 
+    def readConnectionLost(self) -> None:
+        """Guards against losing downloads of a client that has said all it will say, and still listens.
+
+        Harm: a client that has gone altogether is noticed at the first answer only.
+        """
+        self.shut = True
+        self.go_on()
+
+    def writeConnectionLost(self) -> None:
+        pass  # a connection that cannot be written to is lost as a whole
+
     def rest(self, resting: bool) -> None:
         if resting is not self.resting and not self.lost:
             self.resting = resting
@@ -133,10 +146,7 @@
         if self.open.pop(call.seqid, None) is not call or self.lost:
             return
         self.send(answer)
-        if self.ended:
-            self.close_if_done()
-        elif self.came and len(self.open) == MOST_OPEN - 1:
-            self.read()
+        self.go_on()
 
     def send(self, answer: bytes) -> None:
         if self.lost:
@@ -162,9 +172,13 @@
     def resumeProducing(self) -> None:
         self.paused = False
         self.pump()
-        self.close_if_done()
-        if self.came and not self.lost:
+        self.go_on()
+
+    def go_on(self) -> None:
+        """Something has ended: take what waited for that, and close if it was the last."""
+        if (self.came or self.shut) and not (self.ended or self.lost):
             self.read()
+        self.close_if_done()
 
     def stopProducing(self) -> None:
         self.paused = True
