--- a/weldbend/front/names.py
+++ b/weldbend/bus/names.py
@@ -1,15 +1,19 @@
-"""Names of caches at the door: the list's words on one side, the decisions' numbers on the other."""
+"""The bus's list of caches as the decisions know it: names become numbers, Unix stamps the front's own time."""
 
 import zlib
 from dataclasses import dataclass
+from typing import Protocol
 
 from weldbend import interface as face
 from weldbend.bus.events import Target
-from weldbend.front.clock import Clock
 
 PHASES = {"up": face.Phase.READY, "draining": face.Phase.DRAINING, "removed": face.Phase.GONE}
 
 
+class Clock(Protocol):
+    def moment(self, stamp: float) -> float: ...
+
+
 @dataclass(slots=True)
 class Names:
     """The same name gives the same number at every front, and after a restart: the hash goes by numbers."""
--- a/weldbend/bus/sse.py
+++ b/weldbend/bus/sse.py
@@ -9,7 +9,7 @@
 
 
 class BadStream(Exception):
-    """A stream that is no longer worth reading."""
+    """A stream that cannot be read on."""
 
 
 class Message(NamedTuple):
--- a/weldbend/caches/pool.py
+++ b/weldbend/caches/pool.py
@@ -53,7 +53,7 @@
         return CacheConnection(self.lane, self.lane.pool.timers.now)
 
     def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
-        self.lane.failed(self)
+        self.lane.unreached(self)
 
 
 class Lane:
@@ -105,8 +105,8 @@
         connection.rest(self.pool.resting)
         self.room()
 
-    def failed(self, dial: Dial) -> None:
-        """A refused or silent dial speaks for all who wait for it: no connection can be made."""
+    def unreached(self, dial: Dial) -> None:
+        """A dial turned away or silent speaks for all who wait for it: no connection can be made."""
         self.dials.pop(dial, None)
         waiting, self.waiting = self.waiting, deque()
         for pull in waiting:
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -15,13 +15,13 @@
 
 from weldbend import interface as face
 from weldbend.bus.events import Ban, Numbered, Target, Topology
+from weldbend.bus.names import Names
 from weldbend.caches.connection import Lost, Pull
 from weldbend.caches.pool import Pool
 from weldbend.checks import must, odd
 from weldbend.clients.connection import Call
 from weldbend.front import words
 from weldbend.front.clock import Clock
-from weldbend.front.names import Names
 from weldbend.front.site import Site
 from weldbend.front.timers import Timer, Timers
 from weldbend.lines import commands
