Pass over list entries and purges that no front can use: names, addresses, stamps

Found in review: a cache's name with a blank would have broken the lines it is passed on in, a host name would have started a look-up in a thread, a purge stamped NaN would have made every later pull of its object a fault. Each is passed over and logged; a fault in one event of the bus no longer ends the stream.

--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -166,12 +166,28 @@
     assert isinstance(read.event, Topology) and read.event.whole and read.event.targets[0].port == 7
     assert read_event('{"offset":5,"ban":{"url":"ab","ts":1500}}').event == Ban("ab", 0, 1.5)
     assert read_event('{"offset":6,"ban":{"tag":17,"ts":1500}}').event == Ban(None, 17, 1.5)
-    for bad in ("{", "[]", "7", '{"offset":"x"}', '{"offset":1}', '{"offset":1,"ban":{"ts":1}}', "[" * 9999):
+    nan = '{"offset":7,"ban":{"tag":17,"ts":NaN}}'
+    for bad in (
+        nan,
+        "{",
+        "[]",
+        "7",
+        '{"offset":"x"}',
+        '{"offset":1}',
+        '{"offset":1,"ban":{"ts":1}}',
+        "[" * 9999,
+    ):
         with pytest.raises(BadEvent):
             read_event(bad)
-    broken = {"port": "127.0.0.1:99999", "weight": "127.0.0.1:7"}
-    for name, endpoint in broken.items():  # one bad entry hides no other
-        bad = held | {"endpoint": endpoint} | ({"capacity_hint": -1} if name == "weight" else {})
+    broken = (
+        {"endpoint": "127.0.0.1:99999"},
+        {"endpoint": "cache.example:7"},
+        {"capacity_hint": -1},
+        {"uid": "a b,c=d"},
+        {"state": "new"},
+    )
+    for wrong in broken:  # one bad entry hides no other
+        bad = held | wrong
         raw = str({"offset": 4, "topology": {"rev": 1, "all": 0, "targets": [bad, held]}}).replace("'", '"')
         assert [target.port for target in read_event(raw).event.targets] == [7]
 
--- a/weldbend/bus/events.py
+++ b/weldbend/bus/events.py
@@ -2,19 +2,25 @@
 
 import json
 import math
+import re
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from typing import Any
 
 from loguru import logger
 
 STATES = ("up", "draining", "removed")
+UID = re.compile(r"[\w.:/-]{1,64}", re.ASCII)  # it is passed on as a word of the caches' lines
 
 
 class BadEvent(Exception):
     """Something that is no event of the bus."""
 
 
+LATEST = 1e15  # the last millisecond that a stamp may name
+
+
 @dataclass(frozen=True, slots=True)
 class Target:
     uid: str
@@ -65,6 +71,8 @@
         key = held.get("url")
         if key is not None and not isinstance(key, str):
             raise BadEvent(f"ban of {key!r}")
+        if not 0 <= held["ts"] < LATEST:
+            raise BadEvent(f"ban at {held['ts']!r}")
         return Numbered(
             offset, Ban(key, int(held.get("tag", 0)) if key else int(held["tag"]), held["ts"] / 1000)
         )
@@ -83,8 +91,9 @@
 
 def target(raw: Mapping[str, Any]) -> Target:
     host, _, port = raw["endpoint"].rpartition(":")
+    IPv4Address(host)  # raises ValueError: no names are looked up
     weight, booted = float(raw.get("capacity_hint") or 1), float(raw.get("boot_ms") or 0) / 1000
-    if raw["state"] not in STATES or not 0 < int(port) < 65536 or not isinstance(raw["uid"], str):
+    if raw["state"] not in STATES or not 0 < int(port) < 65536 or not UID.fullmatch(raw["uid"]):
         raise ValueError("no target")
     if not 0 < weight < math.inf or not 0 <= booted < math.inf:
         raise ValueError("no weight, or no time of start")
--- a/weldbend/bus/names.py
+++ b/weldbend/bus/names.py
@@ -1,4 +1,4 @@
-"""The bus's list of caches as the decisions know it: names become numbers, Unix stamps the front's own time."""
+"""The bus's list of caches as the decisions know it: names become numbers, stamps the front's time."""
 
 import zlib
 from dataclasses import dataclass
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -126,7 +126,13 @@
 
         The other way round they would hear of the withdrawal alone, and send the same pull again.
         """
-        match numbered.event:
+        try:
+            self.hear(numbered.event)
+        except Exception:
+            self.show(numbered)
+
+    def hear(self, event: Topology | Ban) -> None:
+        match event:
             case Topology(whole, targets):
                 known = [target for target in targets if target.kind in self.site.roles]
                 odd["list entries of unknown kind"] += len(targets) - len(known)
