--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -191,6 +191,14 @@
     stage.shows("")
 
 
+def test_a_pull_decided_for_a_client_that_has_just_left_is_told_to_have_never_run():
+    stage, told = Stage(), []
+    post, stage.door.loop.post = stage.door.loop.post, lambda event: (told.append(event), post(event))
+    stage.say(stage.client(), process(1), give_up(1))
+    assert [event.result for event in told if isinstance(event, face.Ended)] == [face.Result.MOOT]
+    assert not stage.door.loop.downloads and not stage.door.loop.router.downloads and not stage.dials()
+
+
 def test_more_than_the_site_allows_open_is_throttled():
     stage = Stage(open_cap=2)
     stage.say(stage.client(), process(1), process(2), process(3))
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -57,6 +57,7 @@
         self.pool = Pool(reactor, timers, site.bounds, self.probed)
         self.downloads: dict[str, Download] = {}
         self.events: list[face.Event] = []
+        self.done: list[Download] = []
         self.listed: set[int] = set()
         self.turning = False
         self.handed: face.Event | None = None  # the event that the decisions are at
@@ -179,6 +180,10 @@
                     self.perform(action)
                 except Exception:
                     self.fault(action)
+        done, self.done = self.done, []
+        for dl in done:
+            if not dl.out():
+                self.downloads.pop(dl.name, None)
         self.longest = max(self.longest, self.clock.now() - since)
 
     def each(self, coming: deque[face.Event]) -> Iterator[face.Event]:
@@ -252,9 +257,7 @@
                 must(False, f"an action that sockets know: {type(action).__name__}")
 
     def send(self, action: face.SendPull) -> None:
-        dl = self.downloads.get(action.id)
-        if not dl or not must(not dl.closed, "no pull for a download that has ended"):
-            return
+        dl = self.downloads[action.id]
         source = self.names.uids[action.source] if action.source not in (None, action.cache) else None
 
         def command() -> bytes:
@@ -275,6 +278,10 @@
         )
         dl.pulls.append(pull)
         dl.handed.append(self.clock.now())
+        if dl.closed:  # its client left, or it was answered, in the very turn in which this was decided
+            pull.over = True
+            self.ended(dl, pull, face.Result.MOOT)
+            return
         self.counts["pulls"] += 1
         if action.patience:
             dl.timers.append(self.timers.after(action.patience, lambda: self.impatient(dl, pull)))
@@ -308,10 +315,14 @@
         self.forget(dl)
 
     def forget(self, dl: Download) -> None:
+        """Let go of what is done, but not before the turn is over: the decisions may not have heard of it.
+
+        Guards against pulls decided meanwhile, which would never be told to have ended.
+        """
         if dl.closed and not dl.out():
             for timer in dl.timers:
                 timer.cancel()
-            self.downloads.pop(dl.name, None)
+            self.done.append(dl)
 
     # Probes.
 
