--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -137,12 +137,12 @@
             case Topology(whole, targets):
                 known = [target for target in targets if target.kind in self.site.roles]
                 odd["list entries of unknown kind"] += len(targets) - len(known)
-                self.list(whole, known)
+                self.relist(whole, known)
             case Ban(key, group, at):
                 self.post(face.Purged(key, group, self.clock.age(at)))
                 self.pool.purged(key, group)
 
-    def list(self, whole: bool, targets: list[Target]) -> None:
+    def relist(self, whole: bool, targets: list[Target]) -> None:
         entries = tuple(self.names.entry(target) for target in targets)
         named = {entry.id for entry in entries}
         self.post(face.Listed(face.Scale.WHOLE if whole else face.Scale.CHANGES, entries))
