Have the system end connections of clients whose machines vanished

Seen in review: a client's machine that goes silent kept its descriptor, and the answers nobody would read, for hours. Keep-alive and a user time-out of a minute are set on the listening socket; a probe shows that accepted ones inherit them.

--- a/tests/fronts.py
+++ b/tests/fronts.py
@@ -310,6 +310,7 @@
         self.door.clock.age = lambda stamp: max(self.unix() - stamp, 0.0)
         self.door.clock.moment = lambda stamp: self.door.clock.now() - (self.unix() - stamp)
         self.trace, self.clients, self.caches = [], [], {}
+        self.door.listener.watch = lambda: None  # a port in memory has no socket
         self.door.start()
         self.turn()
 
--- a/weldbend/clients/listener.py
+++ b/weldbend/clients/listener.py
@@ -1,5 +1,6 @@
 """The listening port: accepts while descriptors last, and rests at their bound."""
 
+import socket
 from typing import Any
 
 from twisted.internet.interfaces import IAddress
@@ -8,6 +9,7 @@
 from weldbend.clients.connection import Client, Taker
 
 BACKLOG = 1024
+GONE = 60  # seconds without a sign of a client's machine, or of its reading, until it is held to be gone
 
 
 class Listener(Factory):
@@ -23,6 +25,19 @@
 
     def listen(self, reactor: Any, host: str, port: int) -> None:
         self.port = reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
+        self.watch()
+
+    def watch(self) -> None:
+        """Have the system end connections of machines that vanished; what is accepted inherits it.
+
+        Guards descriptors and the memory of answers that nobody will read. Harm: a client that reads nothing
+        for a minute is cut off, long after its downloads are over.
+        """
+        listening: socket.socket = self.port.socket
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, GONE // 2)
+        listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, GONE // 4)
+        listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, GONE * 1000)
 
     def buildProtocol(self, addr: IAddress | None) -> Client:
         return Client(self.taker)
