Decide anew what waited for a cold cache, instead of sending it in one burst

At fault: Lane.room, as for repeats. Pulls for caches or sources of which the list tells a start wait no longer than a turn.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -82,6 +82,19 @@
         assert sum("o1" in line for line in stage.trace) == sent, stage.trace
 
 
+def test_what_waited_for_a_cold_cache_is_decided_anew_and_does_not_come_in_one_burst():
+    for boot, results in ((0, []), (1, [face.Result.MOOT])):
+        stage, told = Stage(), []
+        stage.bus(listing(2, target("e2", port=2, boot=boot * stage.unix() * 1000)))
+        post, loop = stage.door.loop.post, stage.door.loop
+        loop.post = lambda event, told=told, post=post: (told.append(event), post(event))
+        stage.say(stage.client(), process(1))
+        stage.turn(0.3)
+        stage.connect()
+        assert [event.result for event in told if isinstance(event, face.Ended)] == results
+        assert len(stage.trace) == 1 and "budget=5700" in stage.trace[0]
+
+
 def test_refused_and_silent_dials_prove_that_nothing_ran():
     ended = []
     for fail in (Stage.refuse, lambda stage: stage.turn(0.41)):
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -59,6 +59,7 @@
         self.events: list[face.Event] = []
         self.done: list[Download] = []
         self.listed: set[int] = set()
+        self.started: set[int] = set()  # caches of which the list tells a start: they may be cold
         self.turning = False
         self.handed: face.Event | None = None  # the event that the decisions are at
         self.serial = self.probes = self.shown = 0
@@ -146,6 +147,8 @@
         entries = tuple(self.names.entry(target) for target in targets)
         named = {entry.id for entry in entries}
         self.post(face.Listed(face.Scale.WHOLE if whole else face.Scale.CHANGES, entries))
+        self.started -= named
+        self.started |= {entry.id for entry in entries if entry.started is not None}
         for target, entry in zip(targets, entries, strict=True):
             if entry.phase is face.Phase.GONE:
                 self.pool.gone(entry.id)
@@ -272,8 +275,7 @@
             key=dl.wish.key,
             group=dl.wish.group,
             command=command,
-            fleeting=bool(dl.pulls)
-            and self.site.facts.types[dl.wish.type].effect is not face.Effect.RETRIABLE,
+            fleeting=self.fleeting(dl, action),
             ended=lambda pull, how: self.guard(dl, self.ended, pull, how),
         )
         dl.pulls.append(pull)
@@ -287,6 +289,11 @@
             dl.timers.append(self.timers.after(action.patience, lambda: self.impatient(dl, pull)))
         self.pool.send(pull)
 
+    def fleeting(self, dl: Download, action: face.SendPull) -> bool:
+        """Whether what allows a pull may be over soon: a window for repeats, or a cold cache's budget."""
+        retriable = self.site.facts.types[dl.wish.type].effect is face.Effect.RETRIABLE
+        return bool(dl.pulls and not retriable) or not self.started.isdisjoint((action.cache, action.source))
+
     def impatient(self, dl: Download, pull: Pull) -> None:
         if not pull.over:
             self.pool.call_off(pull)
