--- a/weldbend/caches/pool.py
+++ b/weldbend/caches/pool.py
@@ -121,8 +121,8 @@
         """Let those who wait go, in their order.
 
         Guards against repeats of a download that must not run twice, allowed for a time that may be over, and
-        against a burst on a cold cache of all that was decided while its dial took long. Harm: one more decision
-        for each.
+        against a burst on a cold cache of all that was decided while its dial took long.
+        Harm: one more decision for each.
         """
         now, turn = self.pool.timers.now(), self.pool.bounds.turn
         while self.waiting:
