Read the configuration anew on SIGHUP and move to the bus that it names at once

Now: the handler stands before the port listens; the whole file is read and validated, a bad one is logged and the old one stays; the reader is split into goes (Reading), so that nothing an old connection still brings counts. A silent bus is asked again after 1.8 s instead of 2.5 (a comment comes each second).

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -84,6 +84,11 @@
     try:
         first = ask(address, process(1), process(2), probe(3))
         assert heard(first) == "3 probe: good True"
+        program.process.send_signal(signal.SIGHUP)
+        program.told("new configuration")
+        path.write_text("{")
+        program.process.send_signal(signal.SIGHUP)
+        program.told("the old one stays")
         link = cache.accept()[0]
         stream = link.makefile("rb")
         assert commands(stream, 2) == [1, 2]
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,11 +1,12 @@
 """The whole front in memory: what it says to clients and caches, trap by trap, as short traces."""
 
 import pytest
-from fronts import KEY, TARGETS, Stage, give_up, listing, message, probe, process, target
+from fronts import KEY, TARGETS, Stage, configuration, give_up, listing, message, probe, process, target
 
 from weldbend import interface as face
 from weldbend.checks import odd
 from weldbend.front import words
+from weldbend.front.site import read_site
 from weldbend.thrift import binary
 
 ORDER = "queue=order,path=7f3a9c21e0b4d655,blk=0,budget=6000,uniq=5c0f6e1a2b3d4c59,mode=j"
@@ -493,42 +494,76 @@
     assert stage.reactor.hasStopped
 
 
-def test_the_bus_is_read_on_after_each_loss():
-    stage = Stage()
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+
+
+def bus(stage, port=9092):
+    """The newest connection to a bus, brought up, and what was asked on it."""
+    factory = [made[2] for made in stage.reactor.tcpClients if made[1] == port][-1]
+    connection, transport = factory.buildProtocol(None), Stage.transport()
+    connection.makeConnection(transport)
+    transport.protocol = connection
+    asked = dict(line.split(": ") for line in transport.value().decode().splitlines()[1:] if line)
+    return connection, asked["Last-Event-Id"]
+
 
-    def bus():
-        """The newest connection to the bus, brought up, and what was asked on it."""
-        factory = [made[2] for made in stage.reactor.tcpClients if made[1] == 9092][-1]
-        connection, transport = factory.buildProtocol(None), Stage.transport()
-        connection.makeConnection(transport)
-        transport.protocol = connection
-        asked = dict(line.split(": ") for line in transport.value().decode().splitlines()[1:] if line)
-        return connection, asked["Last-Event-Id"]
+def told(raw):
+    return f"id: {raw['offset']}\ndata: {raw}\n\n".replace("'", '"').replace("False", "false").encode()
 
-    def event(raw):
-        return f"id: {raw['offset']}\ndata: {raw}\n\n".replace("'", '"').replace("False", "false").encode()
 
-    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
-    first, asked = bus()
+def uids(stage):
+    return " ".join(sorted(stage.door.loop.names.uids[n] for n in stage.door.loop.pool.lanes))
+
+
+def test_the_bus_is_read_on_after_each_loss():
+    stage = Stage()
+    first, asked = bus(stage)
     seen = [asked]
-    first.dataReceived(head + event(listing(2, target("e7", port=7))) + b"id: 3\ndata: no event\n\n: hm\n\n")
+    first.dataReceived(HEAD + told(listing(2, target("e7", port=7))) + b"id: 3\ndata: no event\n\n: hm\n\n")
     first.transport.loseConnection()
     stage.turn(0.06)
-    second, asked = bus()
+    second, asked = bus(stage)
     seen.append(asked)
     second.dataReceived(
-        head + event(listing(3, target("e8", port=8))) + event(listing(4, target("e9", port=9)))
+        HEAD + told(listing(3, target("e8", port=8))) + told(listing(4, target("e9", port=9)))
     )
-    stage.turn(2.6)  # not even a comment: the bus is silent
+    stage.turn(1.9)  # not even a comment: the bus is silent
     stage.turn(1.0)
-    third, asked = bus()
+    third, asked = bus(stage)
     seen.append(asked)
     third.dataReceived(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
     stage.turn(1.1)
-    seen.append(bus()[1])
-    assert seen == ["1", "3", "4", "4"]
-    listed = {stage.door.loop.names.uids[n] for n in stage.door.loop.pool.lanes}
-    assert listed == {"e1", "e2", "p1", "o1", "e7", "e9"}
+    seen.append(bus(stage)[1])
+    assert seen == ["1", "3", "4", "4"] and uids(stage) == "e1 e2 e7 e9 o1 p1"
+
+
+def test_told_to_read_its_configuration_anew_it_goes_to_the_new_bus_at_once():
+    """SIGHUP, several in a row, one while stopping: numbers go on, and the old bus is heard no more."""
+    stage = Stage()
+    stage.say(stage.client(), process(1))
+    stage.connect()
+    old, asked = bus(stage)
+    seen = [asked]
+    old.dataReceived(HEAD + told(listing(2, target("e7", port=7))))
+    reading = stage.door.bus.reading
+    for port in (9093, 9094, 9094):
+        stage.door.again = lambda port=port: read_site(configuration(bus=f"127.0.0.1:{port}"))
+        stage.door.reload()
+    reading.dataReceived(told(listing(3, target("e8", port=8))))
+    new, asked = bus(stage, 9094)
+    seen.append(asked)
+    stage.door.terminate()
+    for wrong in ("{", configuration(bus="nowhere"), configuration().replace('"lanes"', '"lanez"')):
+        stage.door.again = lambda wrong=wrong: read_site(wrong)
+        stage.door.reload()
+    new.dataReceived(HEAD + told(listing(3, target("e9", port=9))))
+    stage.door.again = lambda: read_site(configuration(bus="127.0.0.1:9095"))
+    stage.door.reload()
+    seen.append(bus(stage, 9095)[1])
+    stage.turn(1.0)
+    stage.answer("e2", 1, "DONE", "-", b"photo")
+    assert seen == ["1", "2", "3"] and uids(stage) == "e1 e2 e7 e9 o1 p1"
+    assert stage.trace[-1] == "client 0 < 1 process: 'photo'"
 
 
 def test_at_the_bound_of_descriptors_idle_clients_make_room_and_no_more_are_accepted():
--- a/weldbend/bus/reader.py
+++ b/weldbend/bus/reader.py
@@ -1,10 +1,13 @@
-"""Reads the event bus without end: connects again after every loss, from the last event seen."""
+"""Reads the event bus without end: asks again after every loss, from the last whole event seen.
+
+One `Reading` is one go at it, over once; only the newest tells anything. The bus may move to another
+address at any time: the numbers go on.
+"""
 
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from loguru import logger
-from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Protocol as Connection
 from twisted.python.failure import Failure
@@ -16,8 +19,8 @@
 from weldbend.bus.events import BadEvent, Numbered, read_event
 from weldbend.bus.sse import BadStream, Parser
 
-SHORTEST, LONGEST = 0.05, 1.0  # seconds before connecting again
-SILENCE = 2.5  # a comment comes each second: after so long without a byte the bus is lost
+SHORTEST, LONGEST = 0.05, 0.5  # seconds before asking again
+SILENCE = 1.8  # a comment comes each second: after so long without a byte the bus is lost
 
 
 class Timer(Protocol):
@@ -36,25 +39,48 @@
         self.reactor = reactor
 
     def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint:
-        return TCP4ClientEndpoint(self.reactor, uri.host.decode(), uri.port, timeout=LONGEST)
+        return TCP4ClientEndpoint(self.reactor, uri.host.decode(), uri.port, timeout=SILENCE)
 
 
-class Stream(Connection):
-    """The body of one answer of the bus."""
+class Reading(Connection):
+    """One go at the bus: a request, and the stream that answers it."""
 
     def __init__(self, reader: "BusReader") -> None:
-        self.reader, self.parser = reader, Parser()
+        self.reader, self.parser, self.over = reader, Parser(), False
+        headers = Headers({"Last-Event-ID": [str(reader.last)], "Accept": ["text/event-stream"]})
+        self.asking: Any = reader.agent.request(b"GET", reader.url, headers)
+        self.asking.addCallbacks(self.answered, lambda failure: self.end(failure.getErrorMessage()))
+
+    def answered(self, response: Any) -> None:
+        self.asking = None
+        if response.code != 200:
+            self.end(f"it answers {response.code}")
+        response.deliverBody(self)
+        if self.over and self.transport:
+            self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
+        if self.over:
+            return
         self.reader.heard()
         try:
             for message in self.parser.feed(data):
                 self.reader.message(message.id, message.data)
         except BadStream as wrong:
-            self.reader.drop(str(wrong))
+            self.end(str(wrong))
 
     def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
-        self.reader.lost(self, "it ended the stream")
+        self.end("it ended the stream")
+
+    def end(self, why: str) -> None:
+        """Let go of it, once: whatever the old connection still brings counts no more."""
+        if not self.over:
+            self.over = True
+            if self.asking:
+                self.asking.cancel()
+            elif self.transport:
+                self.transport.loseConnection()
+            self.reader.lost(self, why)
 
 
 class BusReader:
@@ -62,40 +88,45 @@
         self, reactor: Any, timers: Timers, address: str, last: int, told: Callable[[Numbered], None]
     ) -> None:
         self.agent = Agent.usingEndpointFactory(reactor, Endpoints(reactor))
-        self.timers, self.url, self.last, self.told = (
-            timers,
-            f"http://{address}/bus/read".encode(),
-            last,
-            told,
-        )
+        self.timers, self.address, self.last, self.told = timers, address, last, told
         self.delay, self.stopped, self.away, self.losses = SHORTEST, False, False, 0
-        self.stream: Stream | None = None
-        self.asking: Deferred[Any] | None = None
-        self.silence: Timer | None = None
+        self.reading: Reading | None = None
+        self.silence: Timer | None = None  # until the bus is held to be lost
+        self.next: Timer | None = None  # until it is asked again
+
+    @property
+    def url(self) -> bytes:
+        return f"http://{self.address}/bus/read".encode()
 
     def start(self) -> None:
-        if self.stopped:
-            return
-        headers = Headers({"Last-Event-ID": [str(self.last)], "Accept": ["text/event-stream"]})
-        self.watch()
-        self.asking = self.agent.request(b"GET", self.url, headers)
-        self.asking.addCallbacks(self.answered, lambda failure: self.lost(None, failure.getErrorMessage()))
+        self.next = None
+        if not self.stopped:
+            self.watch()
+            self.reading = Reading(self)
+            if self.reading.over:  # it failed before it had a name
+                self.lost(self.reading, "it cannot be asked")
 
     def stop(self) -> None:
         self.stopped = True
-        self.drop()
+        self.drop("stopped")
 
-    def answered(self, response: Any) -> None:
-        self.asking = None
-        self.stream = Stream(self)
-        response.deliverBody(self.stream)
-        if response.code != 200:
-            self.drop(f"it answers {response.code}")
+    def move(self, address: str) -> None:
+        """Read on at another address, at once: the old one tells nothing more, though it stays open."""
+        if address == self.address:
+            return
+        logger.info("bus moves from {} to {}, after event {}", self.address, address, self.last)
+        self.address, self.delay = address, SHORTEST
+        reading, self.reading = self.reading, None
+        if reading:
+            reading.end("moved")
+        if self.next:
+            self.next.cancel()
+        self.start()
 
     def watch(self) -> None:
         if self.silence:
             self.silence.cancel()
-        self.silence = self.timers.after(SILENCE, self.drop)
+        self.silence = self.timers.after(SILENCE, lambda: self.drop("silent"))
 
     def heard(self) -> None:
         if self.away:
@@ -103,22 +134,14 @@
         self.delay, self.away = SHORTEST, False
         self.watch()
 
-    def drop(self, why: str = "silent") -> None:
-        """Let go of a bus that is silent, or talks nonsense."""
-        if self.asking:
-            self.asking.cancel()
-        elif self.stream and self.stream.transport:
-            stream, self.stream = self.stream, None
-            stream.transport.loseConnection()
-            self.again(why)
-
-    def lost(self, stream: Stream | None, why: str) -> None:
-        self.asking = None
-        if stream is self.stream:
-            self.stream = None
-            self.again(why)
+    def drop(self, why: str) -> None:
+        if self.reading:
+            self.reading.end(why)
 
-    def again(self, why: str) -> None:
+    def lost(self, reading: Reading, why: str) -> None:
+        if reading is not self.reading:
+            return
+        self.reading = None
         if self.silence:
             self.silence.cancel()
         if self.stopped:
@@ -127,7 +150,7 @@
         if not self.away:  # one line a loss, however long it lasts
             logger.warning("bus lost after event {}: {}; trying again without end", self.last, why)
         self.away = True
-        self.timers.after(self.delay, self.start)
+        self.next = self.timers.after(self.delay, self.start)
         self.delay = min(2 * self.delay, LONGEST)
 
     def message(self, number: str, data: str) -> None:
--- a/weldbend/cli.py
+++ b/weldbend/cli.py
@@ -12,12 +12,16 @@
 FORMAT = "{time:HH:mm:ss.SSS} {level:<7} {message}"
 
 
+def read(path: str | None) -> Site:
+    return read_site(Path(path or "").read_text("utf-8"))
+
+
 def load(path: str | None) -> Site:
     """Read a configuration, or end with one clear line."""
     if not path:
         raise click.ClickException("no configuration: give --config or set ROUTER_CONFIG")
     try:
-        return read_site(Path(path).read_text("utf-8"))
+        return read(path)
     except (OSError, UnicodeDecodeError) as wrong:
         raise click.ClickException(f"configuration cannot be read: {wrong}") from None
     except BadSite as wrong:
@@ -44,7 +48,7 @@
 
     logger.remove()
     logger.add(sys.stderr, format=FORMAT, level=log_level.upper(), backtrace=False, diagnose=False)
-    if not life.serve(load(config)):
+    if not life.serve(load(config), lambda: read(config)):
         sys.exit(1)
 
 
--- a/weldbend/front/life.py
+++ b/weldbend/front/life.py
@@ -7,6 +7,8 @@
 import gc
 import resource
 import signal
+from collections.abc import Callable
+from dataclasses import fields
 from typing import Any
 
 from loguru import logger
@@ -20,7 +22,7 @@
 from weldbend.clients.listener import Listener
 from weldbend.front.clock import Clock
 from weldbend.front.loop import Loop
-from weldbend.front.site import Site
+from weldbend.front.site import BadSite, Site
 from weldbend.front.timers import Timers
 
 LINGER = 0.7  # the least time from SIGTERM to the end: clients still come
@@ -29,8 +31,9 @@
 
 
 class Front:
-    def __init__(self, reactor: Any, site: Site) -> None:
+    def __init__(self, reactor: Any, site: Site, again: Callable[[], Site] | None = None) -> None:
         self.reactor, self.site = reactor, site
+        self.again = again  # reads the configuration anew
         self.clock = Clock()
         self.timers = Timers(reactor, self.clock)
         self.loop = Loop(reactor, site, self.clock, self.timers)
@@ -44,6 +47,7 @@
         """Start, and hear of SIGTERM; a front that cannot start says why and ends."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.reactor.callFromThread(self.terminate))
+        signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
         try:
             self.start()
         except CannotListenError as wrong:
@@ -70,6 +74,27 @@
             self.timers.after(LINGER, self.end_if_done)
             self.timers.after(LAST, self.loop.give_up_all)
 
+    def reload(self) -> None:
+        """SIGHUP: read the whole configuration anew, and go to the bus that it names.
+
+        Guards against a file that is half written, broken or gone: it is logged, and the old one stays. What
+        else differs waits for a restart, since the decisions are told their facts once.
+        """
+        if self.again is None:
+            return
+        try:
+            site = self.again()
+        except (BadSite, OSError, UnicodeDecodeError) as wrong:
+            logger.error("new configuration not taken, the old one stays: {}", wrong)
+            return
+        names = [field.name for field in fields(Site)]
+        other = [name for name in names if getattr(site, name) != getattr(self.site, name)]
+        waiting = [name for name in other if name not in ("bus", "known", "offset", "seed")]
+        logger.info(
+            "new configuration, bus {}; only a restart will change: {}", site.bus, waiting or "nothing"
+        )
+        self.bus.move(site.bus)
+
     def end_if_done(self) -> None:
         """Looked at again and again, since what is done can come undone until the last moment."""
         assert self.told is not None
@@ -146,14 +171,15 @@
             self.front.loop.show(formatEvent(event), failure.getTraceback() if failure else " ")
 
 
-def serve(site: Site) -> bool:
+def serve(site: Site, again: Callable[[], Site]) -> bool:
     """Run one front in this process until it is told to end; false if it could not start."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a bus to move
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     least = site.sockets if most == resource.RLIM_INFINITY else min(site.sockets, most)
     resource.setrlimit(resource.RLIMIT_NOFILE, (least, most))
     from twisted.internet import reactor  # installs the reactor: only a process that serves wants one
 
-    front = Front(reactor, site)
+    front = Front(reactor, site, again)
     globalLogBeginner.beginLoggingTo([Bridge(front)], redirectStandardIO=False, discardBuffer=True)
     running: Any = reactor
     running.callWhenRunning(front.run)
--- a/weldbend/front/site.py
+++ b/weldbend/front/site.py
@@ -4,6 +4,7 @@
 import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from ipaddress import IPv4Address
 from typing import Any
 
 from weldbend.bus.events import BadEvent, Numbered, known
@@ -48,6 +49,15 @@
         raise BadSite(f"configuration cannot be used: {wrong}") from None
 
 
+def address(text: str) -> str:
+    """An address that can be dialled; raises ValueError: no names are looked up."""
+    host, _, port = text.rpartition(":")
+    IPv4Address(host)
+    if not 0 < int(port) < 65536:
+        raise ValueError(f"no port: {text!r:.40}")
+    return text
+
+
 def site(raw: Mapping[str, Any]) -> Site:
     settings, limits = raw["settings"], raw["limits"]
     caps, facts = settings["caps"], site_facts(settings)
@@ -59,7 +69,7 @@
         host=host,
         port=int(port),
         seed=zlib.crc32(str(raw["seed"]).encode()),
-        bus=raw["bus"],
+        bus=address(raw["bus"]),
         known=known(raw["known"]),
         offset=int(raw["known"]["offset"]),
         facts=replace(facts, tick=max(facts.tick, TURN)),
