Hold a broken connection that answers again for no restart, and spoilt answers for no evidence

Checked: CPU 0.35 of a core, descriptors 25. At fault, logic.py: each reset made a cache count as just started (Cache.broke, for up to 18 s under a cold cache's budget), and was one mark and one cut of its limit for each pull on the connection; a spoilt answer counted as a reset. connection.py: an answer that stops in the middle left its connection in use, so that all behind it, and all put on it later, ran out of time.

Now: what answers within 2 s of a break did not start anew; one break is one mark and no cut; a spoilt connection is reported as such (SPOILT), is no evidence, and what may be repeated goes to the same cache again; 0.4 s without a byte inside an answer end a connection. A bare error counts once another cache serves the same download; three end it.

--- a/weldbend/caches/connection.py
+++ b/weldbend/caches/connection.py
@@ -18,6 +18,7 @@
 CHUNK = 1 << 16  # the most that one read of a socket brings
 IN = answers.LONGEST_BODY + answers.LONGEST_LINE + 2 * CHUNK
 MOST_UNDONE = 1024  # names of pulls given up that a connection remembers
+STALL = 0.4  # seconds in which the next byte of an answer that has begun must come
 OUT = 1 << 17  # holds the longest command whole, and what comes behind it
 
 
@@ -26,6 +27,7 @@
 
     UNREACHED = auto()  # no connection came up in time
     RESET = auto()  # the connection ended after the first byte had gone out
+    SPOILT = auto()  # the connection brought what is no answer, and was ended
     WITHDRAWN = auto()  # taken back before any byte went out
 
 
@@ -52,6 +54,15 @@
             self.ended(self, how)
 
 
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Timers(Protocol):
+    def now(self) -> float: ...
+    def after(self, delay: float, call: Callable[[], object]) -> Timer: ...
+
+
 class Owner(Protocol):
     """Who keeps the connections of one cache."""
 
@@ -67,20 +78,20 @@
 @dataclass(eq=False)
 class CacheConnection(Connection):
     owner: Owner
-    now: Callable[[], float]
+    timers: Timers
     incoming: Ring = field(default_factory=lambda: Ring(IN))
     going: Ring = field(default_factory=lambda: Ring(OUT))
     out: dict[str, Pull] = field(default_factory=dict)
     undone: dict[str, None] = field(default_factory=dict)  # names whose answer may still be on its way
     transport: Any = None
-    paused = resting = retired = lost = False
+    paused = resting = retired = lost = watched = False
     made = used = heard = 0.0
 
     def connectionMade(self) -> None:
         self.parser = Parser(self.incoming)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
-        self.made = self.used = self.heard = self.now()
+        self.made = self.used = self.heard = self.timers.now()
         self.owner.came(self)
 
     def takes(self, name: str) -> bool:
@@ -92,7 +103,7 @@
 
     def send(self, pull: Pull) -> None:
         command = pull.command()
-        pull.connection, pull.sent = self, self.now()
+        pull.connection, pull.sent = self, self.timers.now()
         self.out[pull.name] = pull
         self.write(command)
 
@@ -108,7 +119,7 @@
         self.settle()
 
     def write(self, command: bytes) -> None:
-        self.used = self.now()
+        self.used = self.timers.now()
         must(self.going.write(command) == len(command), "a cache's ring has room for a command")
         self.pump()
 
@@ -128,7 +139,7 @@
         self.paused = True
 
     def dataReceived(self, data: bytes) -> None:
-        self.heard = self.now()
+        self.heard = self.timers.now()
         must(self.incoming.write(data) == len(data), "a cache's ring has room for a chunk")
         if not self.resting:
             self.read()
@@ -138,8 +149,31 @@
             while not self.resting and (answer := self.parser.next()):
                 self.answered(answer)
         except BadAnswer:  # nothing that follows can be trusted
-            odd["garbage from a cache"] += 1
-            self.drop()
+            self.spoilt("garbage from a cache")
+        if self.incoming and not (self.watched or self.lost or self.resting):
+            self.watch()
+
+    def watch(self) -> None:
+        """Guards all that is out here against an answer that stops in the middle: what follows never comes.
+
+        Answers are written whole, so one that has begun is as good as here. Harm: one whose bytes do come on
+        after a longer standstill is asked for again.
+        """
+        self.watched = True
+        self.timers.after(STALL, self.look)
+
+    def look(self) -> None:
+        self.watched = False
+        if self.lost or self.resting or not self.incoming:
+            return
+        if self.timers.now() >= self.heard + STALL:
+            self.spoilt("answers that stop in the middle")
+        else:
+            self.watch()
+
+    def spoilt(self, what: str) -> None:
+        odd[what] += 1
+        self.drop(Lost.SPOILT)
 
     def rest(self, resting: bool) -> None:
         """Stop or go on reading, for as long as what was read has nowhere to go."""
@@ -158,7 +192,7 @@
             del self.undone[answer.name]
         else:
             self.owner.unknown(answer)
-        self.used = self.now()
+        self.used = self.timers.now()
         self.settle()
 
     def settle(self) -> None:
@@ -178,17 +212,20 @@
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
-    def drop(self) -> None:
+    def drop(self, how: Lost = Lost.RESET) -> None:
         """End it at once, with all that is out on it."""
         if not self.lost:
+            self.end(how)
             self.transport.abortConnection()
-            self.connectionLost()
 
     def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
+        self.end(Lost.RESET)
+
+    def end(self, how: Lost) -> None:
         if self.lost:
             return
         self.lost = True
         self.owner.went(self)
         pulls, self.out = list(self.out.values()), {}
         for pull in pulls:
-            pull.end(Lost.RESET)
+            pull.end(how)
--- a/weldbend/caches/pool.py
+++ b/weldbend/caches/pool.py
@@ -8,27 +8,18 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet.interfaces import IAddress, IConnector
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from weldbend.caches.connection import CacheConnection, Lost, Pull
+from weldbend.caches.connection import CacheConnection, Lost, Pull, Timers
 from weldbend.checks import odd
 from weldbend.lines import commands
 from weldbend.lines.answers import Answer
 
 
-class Timer(Protocol):
-    def cancel(self) -> None: ...
-
-
-class Timers(Protocol):
-    def now(self) -> float: ...
-    def after(self, delay: float, call: Callable[[], object]) -> Timer: ...
-
-
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """What the site and the machine allow."""
@@ -50,7 +41,7 @@
 
     def buildProtocol(self, addr: IAddress | None) -> CacheConnection:
         self.lane.dials.pop(self, None)
-        return CacheConnection(self.lane, self.lane.pool.timers.now)
+        return CacheConnection(self.lane, self.lane.pool.timers)
 
     def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
         self.lane.unreached(self)
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -104,7 +104,7 @@
         self.post(asked)
 
     def clash(self, call: Call, open_call: Call) -> None:
-        """Guards caches against two downloads under one name; who brought both is at fault for the first too."""
+        """Guards caches against two downloads under one name; who brought both loses both."""
         call.turn_back("the id of an open download")
         if open_call.client is call.client:
             call.client.cast_out("clients with two downloads under one id")
--- a/weldbend/front/words.py
+++ b/weldbend/front/words.py
@@ -21,6 +21,7 @@
 LOSSES = {
     Lost.UNREACHED: face.Result.UNREACHED,
     Lost.RESET: face.Result.RESET,
+    Lost.SPOILT: face.Result.SPOILT,
     Lost.WITHDRAWN: face.Result.MOOT,
 }
 HINTS = dict(zip("hfojsrblnx", list(face.Hint)[1:], strict=True))
--- a/weldbend/interface.py
+++ b/weldbend/interface.py
@@ -61,6 +61,7 @@
     CALLED_OFF = auto()
     MOOT = auto()
     MISS = auto()
+    SPOILT = auto()  # its connection brought what is no answer: it may have run
 
 
 class Hint(Enum):
--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -2,14 +2,11 @@
 
 How to call: `router = Router(seed, facts)`, then `router.handle(now, events)` for each batch of events;
 it returns the actions in order. `now` never goes back. A restarted front is a new Router.
-The types of events, actions and facts are in `weldbend/interface.py`; docs/design.md gives the reasons.
-"""
+The types of events, actions and facts are in `weldbend/interface.py`; docs/design.md gives the reasons."""
 
 import math
-import random
-import zlib
 from collections import OrderedDict, defaultdict, deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
@@ -17,6 +14,7 @@
 
 from weldbend import interface as face
 from weldbend.interface import Effect, Hint, Phase, Result, Role, Scale, Scope
+from weldbend.measures import Buckets, Chance
 
 ALPHA, BETA, GAMMA = 1, 1, 1  # the paper's weights of V_k, V_hop and V_hitk
 V_HOP = {Role.EDGE: 2, Role.PARENT: 1}
@@ -42,37 +40,8 @@
 PRIOR = 4  # downloads that a content type's target time counts for in its mean work
 BORNE = 0.5  # flows that a cache is held to bear before any was seen to bear more
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
-
-
-class Chance(random.Random):
-    def __init__(self, seed: int) -> None:
-        super().__init__(0)
-        self.start, self.count = seed, 0
-
-    def random(self) -> float:
-        self.count += 1
-        return zlib.crc32(b"%d:%d" % (self.start, self.count)) / 2**32
-
-
-class Buckets:
-    """A sum over the last `span` seconds, in fixed buckets used again in a ring."""
-
-    def __init__(self, span: float = MEMORY, parts: int = 10) -> None:
-        self.width, self.at, self.sum = span / parts, 0, 0.0
-        self.sums = [0.0] * (parts + 1)
-
-    def add(self, now: float, amount: float = 1.0) -> None:
-        self.total(now)
-        self.sums[self.at % len(self.sums)] += amount
-        self.sum += amount
-
-    def total(self, now: float) -> float:
-        current = int(now / self.width)
-        if current > self.at:
-            for old in range(max(self.at + 1, current - len(self.sums) + 1), current + 1):
-                self.sums[old % len(self.sums)] = 0.0
-            self.at, self.sum = current, sum(self.sums)
-        return self.sum
+ALIVE = 2.0  # seconds after a break in which an answer proves that its cache did not start anew
+MOST_ERRORS = 3  # caches that may answer one download with an error before it is given up
 
 
 @dataclass(eq=False)
@@ -109,17 +78,16 @@
     pull: "Pull"  # that takes too long
 
 
-Mark = Enum("Mark", "GOOD LATE BAD")  # what a cache is told of its own answers
+Mark = Enum("Mark", "GOOD LATE BAD CUT")  # what a cache is told of its own answers
 
 
 class Actor:
+    take: Callable[[Any], None]
+
     def __init__(self, router: "Router") -> None:
         self.router = router
         self.inbox: deque[Any] = deque()
 
-    def take(self, note: Any) -> None:
-        raise NotImplementedError
-
 
 class Cache(Actor):
     def __init__(self, router: "Router", entry: face.Entry) -> None:
@@ -129,10 +97,10 @@
         self.reset()
 
     def reset(self) -> None:
-        self.good, self.bad = Buckets(), Buckets()
+        self.good, self.bad = Buckets(MEMORY), Buckets(MEMORY)
         self.out: dict[Pull, None] = {}
         self.through, self.timely, self.late = 0, Buckets(CROWD_SPAN), Buckets(CROWD_SPAN)
-        self.cut = self.broke = self.turn = -math.inf
+        self.cut = self.broke = self.before = self.turn = self.marked = -math.inf
         facts = self.router.facts
         self.sharers = [facts.zone_fronts, facts.hub_fronts, facts.fronts][list(Role).index(self.role)]
         told, share = facts.weighted and self.role is not Role.ORIGIN, self.weight / self.sharers
@@ -140,6 +108,8 @@
 
     def take(self, note: Any) -> None:
         now = self.router.now
+        if isinstance(note, Pull) and note.cache is self and note.result:
+            self.hear(note.result, note.sent)
         match note:
             case face.Entry():
                 if note.started != self.started:
@@ -152,13 +122,14 @@
                 self.out[note] = None
             case Pull():
                 self.out.pop(note, None)
-                if note.result in (Result.UNREACHED, Result.RESET) and note.cache is self:
-                    self.broke = now
             case Mark.GOOD:
                 self.good.add(now)
                 self.timely.add(now)
                 if 2 * len(self.out) + 1 >= self.limit:
                     self.limit += 1 / max(self.limit, 1) / self.router.facts.zone_fronts  # one for all there
+            case Mark.CUT if now > self.marked:  # one connection, whatever it held
+                self.marked = now
+                self.bad.add(now)
             case Mark.LATE | Mark.BAD:
                 self.bad.add(now, 1.0 if note is Mark.BAD else SLOW)
                 self.late.add(now)
@@ -167,12 +138,22 @@
                 if crowd and now >= self.cut + REST:
                     self.cut, self.limit = now, max(LEAST / self.sharers, self.limit * SHARE)
 
+    def hear(self, result: Result, sent: float) -> None:
+        """Whether it may have started anew: it broke, or could not be reached.
+
+        Guards against taking one broken connection for a restart: what answers soon after never went away.
+        Harm: one that starts anew within that time is taken to be warm until the list tells."""
+        now = self.router.now
+        if result in (Result.UNREACHED, Result.RESET):
+            self.broke, self.before = now, now if result is Result.UNREACHED else self.before
+        elif result in (Result.FULFILLED, Result.MISS) and sent >= self.broke > now - ALIVE:
+            self.broke = self.before
+
     def room(self, dense: bool, home: bool) -> bool:
         """Guards against jams, where all would come late: in flight from here is under a limit found by AIMD.
 
         Below one it is a chance, so that many fronts do not add up to more than a link.
-        Harm: a cache that is late for another cause than its load gets less than it could bear.
-        """
+        Harm: a cache that is late for another cause than its load gets less than it could bear."""
         limit = self.limit * (HEADROOM if dense else 1.0) * (1.0 if home else SPILL)
         free = limit - len(self.out) - THROUGH * self.through
         return free >= 1 or (free > 0 and self.router.chance.random() < free + (1 - free) / self.sharers)
@@ -181,8 +162,7 @@
         """The least part of its link that it can be counted on for: it may have started lately.
 
         Guards against restarts that the list does not tell yet: one that broke its connections may have just
-        started. Harm: one that was only cut off gets little until it would be warm.
-        """
+        started. Harm: one that was only cut off gets little until it would be warm."""
         facts, parent = self.router.facts, self.role is Role.PARENT
         started = self.broke if self.started is None else max(self.started, self.broke)
         if started == -math.inf or self.role is Role.ORIGIN:
@@ -199,14 +179,12 @@
         """Guards against caches that fail, in whole or part, or grow slow, by a draw from the posterior.
 
         Prior and bar are the peers': what strikes all alike scatters nothing, nor does one failure where few
-        are seen. Harm: after a short trouble a sound cache is passed by for up to MEMORY.
-        """
+        are seen. Harm: after a short trouble a sound cache is passed by for up to MEMORY."""
         return self.bad.total(self.router.now) == 0 or self.draw(peers) > BAR * peers
 
     def draw(self, peers: float = 0.5) -> float:
-        good, bad = self.good.total(self.router.now), self.bad.total(self.router.now)
-        prior = 2 * min(max(peers, 0.1), 0.95)
-        return self.router.chance.betavariate(prior + good, 2 - prior + bad)
+        now, prior = self.router.now, 2 * min(max(peers, 0.1), 0.95)
+        return self.router.chance.betavariate(prior + self.good.total(now), 2 - prior + self.bad.total(now))
 
 
 class Prefilter(Actor):
@@ -229,8 +207,8 @@
 
     def __init__(self, router: "Router") -> None:
         super().__init__(router)
-        self.fills = {role: Buckets() for role in V_HOP}
-        self.keeps = {role: Buckets() for role in V_HOP}
+        self.fills = {role: Buckets(MEMORY) for role in V_HOP}
+        self.keeps = {role: Buckets(MEMORY) for role in V_HOP}
         self.ready: dict[Role, list[Cache]] = {role: [] for role in Role}
 
     def take(self, note: Any) -> None:
@@ -257,12 +235,12 @@
             and not dl.type.at_origin
         ):
             plan = Pull(dl, edge, rank=RANK if dl.level >= DEPTH else 0)
-        elif edge is not None and (source := self.source(dl, parents, origins)):
-            plan = self.keep(self.staged(dl, edge, source, origins))
-        elif edge is None and facts.direct and origins and (target := self.pick(dl, parents, 0.0)):
-            plan = Pull(dl, target, origins[0])
+        elif edge is not None:
+            source = self.source(dl, parents, origins)
+            plan = self.keep(self.staged(dl, edge, source, origins)) if source else None
         else:
-            plan = None
+            target = self.pick(dl, parents, 0.0) if facts.direct and origins else None
+            plan = Pull(dl, target, origins[0]) if target else None
         self.router.post(self.router.gate if plan else dl, plan or Stuck(None))
 
     def staged(self, dl: "Download", edge: Cache, source: Cache, origins: list[Cache]) -> Pull:
@@ -326,8 +304,8 @@
         self.purges: dict[str | int, float] = {}
         window = router.facts.cold_window
         self.sent: dict[Cache, Buckets] = defaultdict(lambda: Buckets(window))  # work put to each cache
-        self.downloads, self.further = Buckets(), Buckets()
-        self.given = {role: Buckets() for role in Role}  # work put to all warm caches of a role
+        self.downloads, self.further = Buckets(MEMORY), Buckets(MEMORY)
+        self.given = {role: Buckets(MEMORY) for role in Role}  # work put to all warm caches of a role
         self.borne: dict[Role, float] = {}
 
     def take(self, note: Any) -> None:
@@ -348,9 +326,10 @@
 
     def refusal(self, pull: Pull) -> Stuck | None:
         dl, now, facts = pull.dl, self.router.now, self.router.facts
+        hopeless = sum(p.result is Result.ERROR for p in dl.pulls) >= MOST_ERRORS
         spent = dl.further() and self.further.total(now) >= FURTHER * self.downloads.total(now) + 2
         over = dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls
-        if spent or over or not self.harmless(pull):
+        if hopeless or spent or over or not self.harmless(pull):
             return Stuck(None)
         for cache in pull.caches():
             home = cache is dl.missed or all(c.role is not cache.role for c in dl.ruled_out)
@@ -460,6 +439,7 @@
         self.ruled_out: set[Cache] = set()
         self.missed: Cache | None = None  # the edge that was looked at and lacks the object
         self.closed, self.level, self.v_k = False, 0, 0.0
+        self.suspects: list[Cache] = []  # answered with an error, and may be at fault for it
         self.lacking: Cache | None = None  # the parent that was found to lack the object
 
     def further(self) -> bool:
@@ -504,8 +484,7 @@
         """Guards against pulls that do not end: one more beside it, or in its place where two may not be out.
 
         Most slow pulls are large objects, so a sound cache gets a second wait. Should also cover standstills
-        and cut lines. Harm: the first downloads that a silent cache holds are late.
-        """
+        and cut lines. Harm: the first downloads that a silent cache holds are late."""
         again, pull.doubted = pull.doubted, True
         sound = not again and self.blame(pull).trusted(1.0)
         two = self.router.facts.second_copies
@@ -524,11 +503,13 @@
             work = self.asked.work or router.mean_work(self.type)
             late = pull.ended.took > self.type.target + self.type.stretch * work
             router.learn(self, pull, late)
+            for cache in self.suspects:
+                router.post(cache, Mark.BAD)
             if not (late and pull.doubted):
                 router.post(pull.against() if late else pull.at(), Mark.LATE if late else Mark.GOOD)
         elif pull.result is Result.MISS:
             self.missed, self.lacking = pull.cache, pull.source or self.lacking
-        elif pull.result not in (Result.CALLED_OFF, Result.MOOT) and not pull.doubted:
+        elif pull.result not in (Result.CALLED_OFF, Result.MOOT, Result.SPOILT) and not pull.doubted:
             self.blame(pull)
         if pull.ended.closed:
             self.close()
@@ -538,12 +519,19 @@
             router.downloads.pop(self.asked.id, None)
 
     def blame(self, pull: Pull) -> Cache:
-        """A look speaks for its edge, a fill for its source: the edge had answered the look before."""
+        """A look speaks for its edge, a fill for its source: the edge had answered the look before.
+
+        A bare error speaks against a cache once another serves the same download. Guards against downloads
+        that no cache can use. Harm: one that fails all it is asked is left out a little later."""
         broke = pull.result in (Result.UNREACHED, Result.RESET)
         at_edge = broke or (pull.ended and pull.ended.hint is Hint.NO_PLACE)
         guilty = pull.cache if at_edge else pull.against()
-        self.router.post(guilty, Mark.BAD)
-        self.failed |= {guilty, guilty if at_edge else pull.source or guilty}
+        if pull.result is Result.ERROR and pull.ended.hint is Hint.NONE:
+            self.suspects.append(guilty)
+        else:
+            self.router.post(guilty, Mark.CUT if pull.result is Result.RESET else Mark.BAD)
+        if pull.result is not Result.RESET:
+            self.failed |= {guilty, guilty if at_edge else pull.source or guilty}
         if guilty is self.missed:
             self.missed = None
         return guilty
@@ -566,7 +554,9 @@
         self.caches: dict[int, Cache] = {}
         self.downloads: dict[str, Download] = {}
         self.prefilter, self.placement, self.gate = Prefilter(self), Placement(self), Gate(self)
-        self.pace = {(name, role): (Buckets(), Buckets()) for name in facts.types for role in Role}
+        self.pace = {
+            (name, role): (Buckets(MEMORY), Buckets(MEMORY)) for name in facts.types for role in Role
+        }
         self.mean = dict.fromkeys(facts.types, (0.0, 0))
         self.busy: deque[Actor] = deque()
         self.actions: list[face.Action] = []
