Ask parents for what they hold when no edge is left; tell broken connections from restarts

Ruled out: CPU (0.35 of a core at most, timers 13 ms late), drains, origin limits (a fifth of the cases).

Now: straight to a parent, what it holds is asked first. A broken connection with pulls out is dialled at once; a cache that comes up within 0.5 s did not start anew, and for 0.2 s nothing is held against it. A wake for a pull tells whether its connection has brought anything since; if not, there is no second wait.

--- a/weldbend/caches/pool.py
+++ b/weldbend/caches/pool.py
@@ -79,9 +79,9 @@
             connection.retire()
         return idle
 
-    def dial(self) -> None:
+    def dial(self, least: int = 0) -> None:
         """Have as many connections on their way as those who wait need."""
-        while self.waiting and len(self.dials) * self.streams < len(self.waiting) and not self.closed:
+        while len(self.dials) * self.streams < max(len(self.waiting), least) and not self.closed:
             if self.pool.connections() >= self.pool.bounds.descriptors:
                 break
             dial = Dial(self)
@@ -93,6 +93,7 @@
             connection.close()
             return
         self.connections.append(connection)
+        self.pool.reached(self.cache)
         connection.rest(self.pool.resting)
         self.room()
 
@@ -127,9 +128,10 @@
                 break
 
     def went(self, connection: CacheConnection) -> None:
+        """One that broke with pulls out is replaced at once: whether it can be tells what happened."""
         if connection in self.connections:
             self.connections.remove(connection)
-        self.dial()
+        self.dial(least=1 if connection.out and not self.connections else 0)
 
     def unknown(self, answer: Answer) -> None:
         if not self.pool.probed(self.cache, answer):
@@ -158,9 +160,15 @@
 
 class Pool:
     def __init__(
-        self, reactor: Any, timers: Timers, bounds: Bounds, probed: Callable[[int, Answer], bool]
+        self,
+        reactor: Any,
+        timers: Timers,
+        bounds: Bounds,
+        probed: Callable[[int, Answer], bool],
+        reached: Callable[[int], None],
     ) -> None:
-        self.reactor, self.timers, self.bounds, self.probed = reactor, timers, bounds, probed
+        self.reactor, self.timers, self.bounds = reactor, timers, bounds
+        self.probed, self.reached = probed, reached
         self.lanes: dict[int, Lane] = {}
         self.resting = False
 
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -55,7 +55,7 @@
         self.reactor, self.site, self.clock, self.timers = reactor, site, clock, timers
         self.router = Router(site.seed, site.facts)
         self.names = Names(clock, site.roles, {}, {})
-        self.pool = Pool(reactor, timers, site.bounds, self.probed)
+        self.pool = Pool(reactor, timers, site.bounds, self.probed, self.reached)
         self.downloads: dict[str, Download] = {}
         self.open: dict[str, Download] = {}  # those not yet answered or left, by their clients' ids
         self.events: list[face.Event] = []
@@ -280,8 +280,8 @@
                     self.counts["abandoned"] += 1
                     dl.call.abandon()
                     self.close(dl)
-            case face.Wake(delay, token, name):
-                timer = self.timers.after(delay, lambda: self.post(face.Woke(token)))
+            case face.Wake(delay, token, name, number):
+                timer = self.timers.after(delay, lambda: self.wake(token, name, number))
                 if dl := self.downloads.get(name):
                     dl.timers.append(timer)
             case face.Probe(cache):
@@ -328,6 +328,12 @@
         retriable = self.site.facts.types[dl.wish.type].effect is face.Effect.RETRIABLE
         return bool(dl.pulls and not retriable) or not self.started.isdisjoint((action.cache, action.source))
 
+    def wake(self, token: str, name: str, number: int) -> None:
+        """Tell the time that was asked for, and of the pull it is about whether its connection lives."""
+        dl = self.downloads.get(name) if number >= 0 else None
+        link = dl.pulls[number].connection if dl else None
+        self.post(face.Woke(token, bool(dl and link and link.heard <= dl.pulls[number].sent)))
+
     def impatient(self, dl: Download, pull: Pull) -> None:
         if not pull.over:
             self.pool.call_off(pull)
@@ -382,6 +388,9 @@
             cache, since = self.asked.pop(tag)
             self.post(face.Probed(cache, result, self.clock.now() - since, None))
 
+    def reached(self, cache: int) -> None:
+        self.post(face.Reached(cache))
+
     def probed(self, cache: int, answer: Answer) -> bool:
         """An answer that belongs to no pull: whether it is one of a probe."""
         if answer.word not in words.FITNESS or self.asked.get(answer.name, (None,))[0] != cache:
--- a/weldbend/interface.py
+++ b/weldbend/interface.py
@@ -191,6 +191,14 @@
 @dataclass(frozen=True, slots=True)
 class Woke:
     token: str
+    silent: bool = False  # the connection of the pull that it is about has brought nothing since it went out
+
+
+@dataclass(frozen=True, slots=True)
+class Reached:
+    """A connection to a cache has come up."""
+
+    cache: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,7 +222,7 @@
     text: bytes
 
 
-Event = Listed | Asked | Began | Ended | Left | Purged | Woke | Probed | Pressed | Told
+Event = Listed | Asked | Began | Ended | Left | Purged | Woke | Reached | Probed | Pressed | Told
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,6 +261,7 @@
     delay: float
     token: str
     id: str = ""  # the download that it is for: need not be told once that has ended
+    pull: int = -1  # and the pull
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -41,7 +41,7 @@
 BORNE = 0.5  # flows that a cache is held to bear before any was seen to bear more
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
 PRESSED, CALM = 0.03, 0.5  # seconds by which turns may be late, and in which that is forgotten
-ALIVE = 2.0  # seconds after a break in which an answer proves that its cache did not start anew
+GRACE, SOON = 0.2, 0.5  # seconds in which a break is no restart yet, and none if a connection comes up
 MOST_ERRORS = 3  # caches that may answer one download with an error before it is given up
 
 
@@ -59,6 +59,7 @@
     result: Result | None = None
     ended: face.Ended | None = None
     doubted: bool = False
+    silent: bool = False
 
     def at(self) -> "Cache":
         return self.origin or self.source or self.cache  # whose limit counts it, and whom its end speaks for
@@ -78,6 +79,7 @@
 
 class Doubt(NamedTuple):
     pull: "Pull"  # that takes too long
+    silent: bool = False  # nothing has come over its connection since
 
 
 Mark = Enum("Mark", "GOOD LATE BAD CUT")  # what a cache is told of its own answers
@@ -102,8 +104,8 @@
 
     def take(self, note: Any) -> None:
         now = self.router.now
-        if isinstance(note, Pull) and note.cache is self and note.result:
-            self.hear(note.result, note.sent)
+        if isinstance(note, Pull) and note.cache is self and note.result in (Result.UNREACHED, Result.RESET):
+            self.broke, self.before = now, now if note.result is Result.UNREACHED else self.before
         match note:
             case face.Entry():
                 if note.started != self.started:
@@ -116,6 +118,8 @@
                 self.out[note] = None
             case Pull():
                 self.out.pop(note, None)
+            case face.Reached():
+                self.broke = self.before if now < self.broke + SOON else self.broke
             case Mark.GOOD:
                 self.good.add(now)
                 self.timely.add(now)
@@ -132,17 +136,6 @@
                 if crowd and now >= self.cut + REST:
                     self.cut, self.limit = now, max(LEAST / self.sharers, self.limit * SHARE)
 
-    def hear(self, result: Result, sent: float) -> None:
-        """Whether it may have started anew: it broke, or could not be reached.
-
-        Guards against taking one broken connection for a restart: what answers soon after never went away.
-        Harm: one that starts anew within that time is taken to be warm until the list tells."""
-        now = self.router.now
-        if result in (Result.UNREACHED, Result.RESET):
-            self.broke, self.before = now, now if result is Result.UNREACHED else self.before
-        elif result in (Result.FULFILLED, Result.MISS) and sent >= self.broke > now - ALIVE:
-            self.broke = self.before
-
     def room(self, dense: bool, home: bool) -> bool:
         """Guards against jams, where all would come late: in flight from here is under a limit found by AIMD.
 
@@ -155,10 +148,11 @@
     def part(self) -> float:
         """The least part of its link that it can be counted on for: it may have started lately.
 
-        Guards against restarts that the list does not tell yet: one that broke its connections may have just
-        started. Harm: one that was only cut off gets little until it would be warm."""
+        Guards against restarts that the list does not tell yet: one that broke its connections, and cannot be
+        reached again at once, may have just started. Harm: one cut off gets little until it would be warm."""
         facts, parent = self.router.facts, self.role is Role.PARENT
-        started = self.broke if self.started is None else max(self.started, self.broke)
+        broke = self.before if self.router.now < self.broke + GRACE else self.broke
+        started = broke if self.started is None else max(self.started, broke)
         if started == -math.inf or self.role is Role.ORIGIN:
             return 1.0
         floor = facts.parent_floor if parent else facts.cold_floor
@@ -237,7 +231,8 @@
             plan = self.keep(self.staged(dl, edge, source, origins)) if source else None
         else:
             target = self.pick(dl, parents, 0.0) if facts.direct and origins else None
-            plan = Pull(dl, target, origins[0]) if target else None
+            lacks = target and (dl.lacking or target.part() < 1 or dl.type.at_origin)
+            plan = Pull(dl, target, origins[0] if lacks else None) if target else None
         self.router.post(self.router.gate if plan else dl, plan or Stuck(None))
 
     def staged(self, dl: "Download", edge: Cache, source: Cache, origins: list[Cache]) -> Pull:
@@ -483,20 +478,20 @@
                 router.post(router.gate, self)
             case face.Began():
                 self.closed = True
-            case Doubt(pull) if pull.result is None:
-                self.doubt(pull)
+            case Doubt(pull, silent) if pull.result is None:
+                self.doubt(pull, silent)
             case face.Woke():
                 router.post(router.gate, self)
 
-    def doubt(self, pull: Pull) -> None:
+    def doubt(self, pull: Pull, silent: bool) -> None:
         """Guards against pulls that do not end: one more beside it, or in its place where two may not be out.
 
-        Most slow pulls are large objects, so a sound cache gets a second wait. Should also cover standstills
-        and cut lines. Harm: the first downloads that a silent cache holds are late."""
-        again, pull.doubted = pull.doubted, True
+        Most slow pulls are large objects, so a sound cache whose connection lives gets a second wait. Should
+        also cover standstills and cut lines. Harm: the first downloads that a silent cache holds are late."""
+        again, pull.doubted, pull.silent = pull.doubted, True, silent
         sound = not again and self.blame(pull).trusted(1.0)
         two = self.router.facts.second_copies
-        if not again and (sound or not two):
+        if not (again or silent) and (sound or not two):
             self.wait(pull)
         elif self.type.effect is not Effect.NON_RETRIABLE:
             self.router.post(*((self.router.placement, self) if two else (self.router.gate, Doubt(pull))))
@@ -504,7 +499,7 @@
     def wait(self, pull: Pull) -> None:
         delay = max(PATIENCE * self.router.expected(self, pull.at().role), self.type.target)
         token = f"slow:{self.asked.id}:{pull.number}"
-        self.router.actions.append(face.Wake(delay, token, self.asked.id))
+        self.router.actions.append(face.Wake(delay, token, self.asked.id, pull.number))
 
     def done(self, pull: Pull) -> None:
         router = self.router
@@ -517,7 +512,8 @@
             if not (late and pull.doubted):
                 router.post(pull.against() if late else pull.at(), Mark.LATE if late else Mark.GOOD)
         elif pull.result is Result.MISS:
-            self.missed, self.lacking = pull.cache, pull.source or self.lacking
+            self.missed = pull.cache
+            self.lacking = pull.source or (pull.cache if pull.cache.role is Role.PARENT else self.lacking)
         elif pull.result not in (Result.CALLED_OFF, Result.MOOT, Result.SPOILT) and not pull.doubted:
             self.blame(pull)
         if pull.ended.closed:
@@ -532,13 +528,13 @@
 
         A bare error speaks against a cache once another serves the same download. Guards against downloads
         that no cache can use. Harm: one that fails all it is asked is left out a little later."""
-        broke = pull.result in (Result.UNREACHED, Result.RESET)
+        broke = pull.silent or pull.result in (Result.UNREACHED, Result.RESET)
         at_edge = broke or (pull.ended and pull.ended.hint is Hint.NO_PLACE)
         guilty = pull.cache if at_edge else pull.against()
         if pull.result is Result.ERROR and pull.ended.hint is Hint.NONE:
             self.suspects.append(guilty)
         else:
-            self.router.post(guilty, Mark.CUT if pull.result is Result.RESET else Mark.BAD)
+            self.router.post(guilty, Mark.CUT if pull.silent or pull.result is Result.RESET else Mark.BAD)
         if pull.result is not Result.RESET:
             self.failed |= {guilty, guilty if at_edge else pull.source or guilty}
         self.missed = None if guilty is self.missed else self.missed
@@ -601,7 +597,9 @@
             case face.Woke(token):
                 why, name, *pull = token.split(":")
                 if dl := self.downloads.get(name):
-                    yield dl, (Doubt(dl.pulls[int(pull[0])]) if why == "slow" else event)
+                    yield dl, (Doubt(dl.pulls[int(pull[0])], event.silent) if why == "slow" else event)
+            case face.Reached() if event.cache in self.caches:
+                yield self.caches[event.cache], event
 
     def listed(self, event: face.Listed) -> Iterator[tuple[Actor, Any]]:
         if event.scale is Scale.FAILED:
