--- a/weldbend/caches/pool.py
+++ b/weldbend/caches/pool.py
@@ -5,6 +5,7 @@
 a purge says anything about its cache, its source or its object, and whoever sent it decides anew.
 """
 
+import errno
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -19,6 +20,9 @@
 from weldbend.lines import commands
 from weldbend.lines.answers import Answer
 
+CUT_OFF = (errno.ECONNRESET, errno.ECONNABORTED, errno.EPIPE)
+MOST_CUT_OFF = 5  # dials in a row that may be accepted and reset
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -44,7 +48,7 @@
         return CacheConnection(self.lane, self.lane.pool.timers)
 
     def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
-        self.lane.unreached(self)
+        self.lane.failed(self, getattr(reason.value, "osError", None) in CUT_OFF)
 
 
 class Lane:
@@ -56,7 +60,7 @@
         self.connections: list[CacheConnection] = []
         self.dials: dict[Dial, IConnector] = {}
         self.waiting: deque[Pull] = deque()
-        self.closed = False
+        self.closed, self.cut_off = False, 0  # dials in a row that were accepted and reset
 
     def send(self, pull: Pull) -> None:
         if not self.place(pull):
@@ -92,14 +96,24 @@
         if self.closed:
             connection.close()
             return
+        self.cut_off = 0
         self.connections.append(connection)
         self.pool.reached(self.cache)
         connection.rest(self.pool.resting)
         self.room()
 
-    def unreached(self, dial: Dial) -> None:
-        """A dial turned away or silent speaks for all who wait for it: no connection can be made."""
+    def failed(self, dial: Dial, cut_off: bool) -> None:
+        """A dial turned away or silent speaks for all who wait for it: no connection can be made.
+
+        One that was accepted and reset says that its cache is there, so it is dialled again, not for ever.
+        Guards against taking it for one that is down. Harm: some dials more to one that always does so.
+        """
         self.dials.pop(dial, None)
+        self.cut_off = self.cut_off + 1 if cut_off else MOST_CUT_OFF
+        if self.cut_off < MOST_CUT_OFF:
+            self.dial()
+            return
+        self.cut_off = 0
         waiting, self.waiting = self.waiting, deque()
         for pull in waiting:
             pull.end(Lost.UNREACHED)
--- a/weldbend/front/site.py
+++ b/weldbend/front/site.py
@@ -12,7 +12,7 @@
 from weldbend.facts import cache_roles, site_facts
 from weldbend.interface import Role, SiteFacts
 
-TURN = 0.01  # a turn of the loop may last so long; the decisions are told, as of any tick
+TURN = 0.004  # a turn of the loop may last so long; the decisions are told, as of any tick
 RESERVE = 32  # descriptors for the process itself: log, reactor, bus, listening port
 
 
