--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -634,8 +634,8 @@
     stage.turn(0.75)
     assert not stage.reactor.hasStopped
     stage.answer("e2", 1, "DONE", "-", b"taken before")
-    stage.turn(0.03)
-    stage.turn(0.03)
+    for _ in range(6):
+        stage.turn(0.03)
     assert stage.reactor.hasStopped
     stage.shows(f"""
         e2/0 < do 0000000000000001 {DO},budget=6000,mode=j 0
@@ -646,6 +646,31 @@
     """)
 
 
+def test_told_to_stop_among_silent_clients_it_closes_none_on_which_a_request_may_be_on_its_way():
+    stage = Stage()
+    usual, silent = stage.client(), [stage.client()]
+    stage.say(usual, process(1))
+    stage.connect()
+    stage.door.terminate()
+    stage.turn(0.68)
+    stage.answer("e2", 1, "DONE", "-", b"one")
+    for _ in range(3):
+        silent.append(stage.client())
+        stage.turn(0.025)
+    assert not usual.transport.disconnecting and stage.door.listener.port is None
+    stage.say(usual, process(2))
+    stage.answer("e2", 2, "DONE", "-", b"two")
+    stage.turn(0.02)
+    assert not stage.reactor.hasStopped
+    for _ in range(6):
+        stage.turn(0.03)
+    assert stage.reactor.hasStopped and all(client.transport.disconnecting for client in (usual, *silent))
+    assert [line for line in stage.trace if "client" in line] == [
+        "client 0 < 1 process: 'one'",
+        "client 0 < 2 process: 'two'",
+    ]
+
+
 def test_told_to_stop_it_answers_what_is_still_open_before_it_can_be_killed():
     stage = Stage()
     client = stage.client()
@@ -757,6 +782,7 @@
     listener.port = Port()
     busy, idle = stage.client(), stage.client()
     stage.say(busy, process(1))
+    stage.turn(0.6)
     late = stage.client()
     assert idle.transport.disconnecting and not busy.transport.disconnecting
     stage.say(late, process(2))
@@ -765,3 +791,19 @@
     stage.answer("e2", 1, "DONE", "-", b"photo")
     busy.transport.loseConnection()
     assert port == ["rest", "accept"] and len(listener.clients) == 2
+
+
+def test_at_the_bound_those_go_first_that_said_nothing_or_asked_once_and_those_just_connected_last():
+    stage = Stage()
+    listener, shown = stage.door.listener, []
+    listener.port = None
+    once, usual, silent = stage.client(), stage.client(), stage.client()
+    stage.say(once, probe(1))
+    stage.say(usual, probe(1), probe(2))
+    stage.turn(0.6)
+    fresh = stage.client()
+    for most in (4, 3, 2, 1):
+        listener.most = most
+        listener.make_room()
+        shown.append("".join(str(int(c.transport.disconnecting)) for c in (once, usual, silent, fresh)))
+    assert shown == ["0010", "1010", "1110", "1111"]
--- a/weldbend/clients/connection.py
+++ b/weldbend/clients/connection.py
@@ -27,6 +27,7 @@
 MOST_FLAWS = 4  # calls turned back that a client may make
 MOST_WITHDRAWN = 64  # calls withdrawn with their own bytes, one after another, that a client may make
 SPEAK = 2.0  # seconds in which a client has to bring its first call, and to end each call that it began
+QUIET = 0.1  # seconds without a byte after which nothing is held to be on its way from a client
 IDLE = 4.5  # seconds without an open download: clients close such a connection themselves after 4
 
 
@@ -82,8 +83,8 @@
     behind: deque[bytes] = field(default_factory=deque)  # whole answers that the ring has no room for
     open: dict[int, Call] = field(default_factory=dict)
     transport: Any = None
-    paused = ended = lost = resting = reading = shut = spoke = False
-    flaws = withdrawn = 0
+    paused = ended = lost = resting = reading = shut = False
+    calls = flaws = withdrawn = 0
     heard = begun = 0.0  # when it last was not idle, and since when a call is on its way
     fresh: set[Call] = field(default_factory=set)  # calls of the read that is under way
 
@@ -142,7 +143,7 @@
             (self.transport.pauseProducing if resting else self.transport.resumeProducing)()
 
     def called(self, call: messages.Process | messages.GiveUp | messages.Probe | messages.Wrong) -> None:
-        self.spoke = True
+        self.calls += 1
         match call:
             case messages.Process(seqid) if seqid in self.open:  # a second answer must never be sent
                 self.cast_out("clients with two calls under one number")
@@ -202,7 +203,7 @@
         """
         if self.open or self.behind or self.going or self.lost:
             self.heard = now
-        elif not self.spoke and now > self.heard + SPEAK and not self.came:
+        elif not self.calls and now > self.heard + SPEAK and not self.came:
             self.silent("clients that say nothing")
         elif self.came and now > self.begun + SPEAK:
             self.silent("clients that stop in the middle of a call")
@@ -215,6 +216,7 @@
         self.close()
 
     def finish(self, call: Call, answer: bytes) -> None:
+        self.heard = self.taker.now()
         if self.open.pop(call.seqid, None) is not call or self.lost:
             return
         self.send(answer)
@@ -261,6 +263,10 @@
     def idle(self) -> bool:
         return not (self.open or self.came or self.going or self.behind)
 
+    def quiet(self, now: float) -> bool:
+        """Whether nothing can be on its way here: it never spoke, or has all its answers and is still."""
+        return not self.calls or (self.idle() and now > self.heard + QUIET)
+
     def finish_and_close(self) -> None:
         """Hear no more of a client; what is open still gets its answer."""
         self.ended = True
--- a/weldbend/clients/listener.py
+++ b/weldbend/clients/listener.py
@@ -9,6 +9,7 @@
 from weldbend.clients.connection import Client, Taker
 
 BACKLOG = 1024
+FRESH = 0.05  # seconds without a byte after which a client's call is hardly on its way
 GONE = 60  # seconds without a sign of a client's machine, or of its reading, until it is held to be gone
 
 
@@ -27,6 +28,11 @@
         self.port = reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
         self.watch()
 
+    def stop(self) -> None:
+        if self.port:
+            self.port.stopListening()
+            self.port = None
+
     def watch(self) -> None:
         """Have the system end connections of machines that vanished; what is accepted inherits it.
 
@@ -43,23 +49,29 @@
         return Client(self.taker)
 
     def opened(self, client: Client) -> None:
-        """At the bound those go that have been idle longest, first those that never said anything.
+        self.clients.add(client)
+        self.make_room(client)
+
+    def make_room(self, new: Client | None = None) -> None:
+        """At the bound idle ones go: those that said nothing, then those that asked once, the longest first.
 
-        Guards the port against clients that connect in hundreds and stay. Harm: an idle usual one has to
-        connect anew, when more are in use at once than the site has descriptors for.
+        Guards the port against clients that connect in hundreds and stay. Those heard of just now go last: a
+        call may be on its way there. Harm: an idle usual one has to connect anew, when more are in use at
+        once than the site has descriptors for.
         """
-        self.clients.add(client)
         if len(self.clients) >= self.most:
-            spare = [other for other in self.clients if other is not client and other.idle()]
-            spare.sort(key=lambda other: (other.spoke, other.heard))
+            fresh = self.taker.now() - FRESH
+            spare = [other for other in self.clients if other.idle() and other is not new]
+            spare.sort(key=lambda other: (other.heard > fresh, min(other.calls, 2), other.heard))
             for other in spare[: max(self.most // 16, 1)]:
                 other.close()
-            self.rest(len(self.clients) >= self.most)
+        self.rest(len(self.clients) >= self.most)
 
     def look(self) -> None:
         now = self.taker.now()
         for client in list(self.clients):
             client.look(now)
+        self.make_room()
 
     def closed(self, client: Client) -> None:
         self.clients.discard(client)
--- a/weldbend/front/life.py
+++ b/weldbend/front/life.py
@@ -98,16 +98,23 @@
         self.bus.move(site.bus)
 
     def end_if_done(self) -> None:
-        """Looked at again and again, since what is done can come undone until the last moment."""
+        """Looked at again and again, since what is done can come undone until the last moment.
+
+        From here on nobody new is accepted: usual clients went elsewhere. Guards against closing a connection
+        on which a request is on its way, and against clients that go on connecting and say nothing.
+        Harm: none known; a client that still connects is refused, as it will be a moment later.
+        """
         assert self.told is not None
-        late = self.clock.now() > self.told + LAST + 0.1
+        now = self.clock.now()
+        self.listener.stop()
+        late = now > self.told + LAST + 0.1
         if late or not (self.loop.downloads or self.listener.clients):
             self.report()
             logger.info("ends, {} downloads open", len(self.loop.downloads))
             self.bus.stop()
             self.reactor.stop()
             return
-        if not self.loop.downloads:
+        if not self.loop.downloads and all(client.quiet(now) for client in self.listener.clients):
             for client in list(self.listener.clients):
                 client.finish_and_close()
         self.timers.after(0.02, self.end_if_done)
--- a/weldbend/front/site.py
+++ b/weldbend/front/site.py
@@ -13,6 +13,7 @@
 from weldbend.interface import Role, SiteFacts
 
 TURN = 0.004  # a turn of the loop may last so long; the decisions are told, as of any tick
+FOR_CACHES = 96  # descriptors for connections to caches, of which some tens are in use
 RESERVE = 32  # descriptors for the process itself: log, reactor, bus, listening port
 
 
@@ -63,7 +64,7 @@
     caps, facts = settings["caps"], site_facts(settings)
     host, _, port = raw["listen"].rpartition(":")
     sockets = int(limits["sockets"])
-    clients = sockets // 2  # clients hold a third at most; the rest is for caches
+    clients = max(sockets // 2, sockets - FOR_CACHES - RESERVE)  # ours hold a third
     return Site(
         name=str(raw["name"]),
         host=host,
--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -58,8 +58,7 @@
     sent: float = 0.0
     result: Result | None = None
     ended: face.Ended | None = None
-    doubted: bool = False
-    silent: bool = False
+    doubted = silent = False
 
     def at(self) -> "Cache":
         return self.origin or self.source or self.cache  # whose limit counts it, and whom its end speaks for
@@ -212,19 +211,16 @@
     def place(self, dl: "Download") -> None:
         """A look at the edge first, then a fill there: what missed is then known at every site."""
         now, facts, (edges, parents, origins) = self.router.now, self.router.facts, self.ready.values()
-        good, bad = sum(c.good.total(now) for c in edges), sum(c.bad.total(now) for c in edges)
+        bad = sum(c.bad.total(now) for c in edges)
+        good = sum(c.good.total(now) for c in edges) if bad else 0.0
         well = (good + 1) / (good + bad + 1)
-        edge = dl.missed if dl.missed in set(edges) - dl.ruled_out else None
+        edge = dl.missed if dl.missed in edges and dl.missed not in dl.ruled_out else None
+        look = edge is None and not dl.type.at_origin
         if dl.type.at_origin and facts.direct:
             target = self.pick(dl, origins, 0.0)
             plan = Pull(dl, target) if target else None
         # a cold edge is filled without a look: it holds little, and each pull counts against its budget
-        elif (
-            edge is None
-            and (edge := self.pick(dl, edges, well))
-            and edge.part() == 1
-            and not dl.type.at_origin
-        ):
+        elif (edge := edge or self.pick(dl, edges, well)) and look and edge.part() == 1:
             plan = Pull(dl, edge, rank=RANK if dl.level >= DEPTH else 0)
         elif edge is not None:
             source = self.source(dl, parents, origins)
@@ -267,9 +263,10 @@
         """The hub's parent by hash, then any by hash; the origin where no parent does as well."""
         strained = dl.lacking is not None and self.router.now - dl.lacking.cut < MEMORY
         near = [c for c in parents if c.zone == self.router.facts.hub and not strained] or parents
+        if picked := self.pick(dl, near, 1.0, sure=True):
+            return picked
         peers = 1 - min((c.share_bad() for c in parents + origins), default=0.0)
-        picked = self.pick(dl, near, 1.0, sure=True) or self.pick(dl, parents, peers, sure=True)
-        if picked or any(c in dl.ruled_out for c in parents):
+        if (picked := self.pick(dl, parents, peers, sure=True)) or any(c in dl.ruled_out for c in parents):
             return picked or self.pick(dl, origins, peers, sure=True)
         return max((c for c in parents + origins if c not in dl.failed), key=Cache.draw, default=None)
 
@@ -282,9 +279,11 @@
         return first or (None if sure else max(fresh or ranked, key=Cache.draw, default=None))
 
     def rank(self, dl: "Download", cache: Cache) -> float:
-        digest = blake2b(f"{dl.name} {cache.id}".encode(), digest_size=7).digest()
-        drawn = (int.from_bytes(digest) + 1) / (2**56 + 1)
-        return math.log(drawn) / (cache.weight if self.router.facts.weighted else 1.0)
+        if cache not in dl.ranks:
+            digest = blake2b(f"{dl.name} {cache.id}".encode(), digest_size=7).digest()
+            drawn = math.log((int.from_bytes(digest) + 1) / (2**56 + 1))
+            dl.ranks[cache] = drawn / (cache.weight if self.router.facts.weighted else 1.0)
+        return dl.ranks[cache]
 
 
 class Gate(Actor):
@@ -340,9 +339,10 @@
         over = dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls
         if hopeless or spent or over or not self.harmless(pull):
             return Stuck(None)
+        dense = self.router.densest(dl.type)
         for cache in pull.caches():
             home = cache is dl.missed or all(c.role is not cache.role for c in dl.ruled_out)
-            free = dl.type.at_origin or cache.room(self.router.densest(dl.type), home)
+            free = dl.type.at_origin or cache.room(dense, home)
             if not free or cache.phase is not Phase.READY or not self.bears(cache, dl):
                 return Stuck(cache)
         return None
@@ -391,18 +391,18 @@
         join = self.router.facts.joins and not any(p.source and not p.held for p in dl.pulls)
         name, at, age = dl.asked.id, pull.cache.id, self.age(pull)
         by = pull.source.id if pull.source else None if pull.cache.role is Role.ORIGIN else at
-        going = face.SendPull(name, at, by, pull.rank, age, 0.0, join, pull.held, pull.leave, False)
-        self.router.actions.append(going)
+        go = face.SendPull(name, at, by, pull.rank, age, 0.0, join, pull.held, pull.leave, False)
+        self.router.actions.append(go)
         dl.pulls.append(pull)
         for actor in (*pull.caches(), dl):
             self.router.post(actor, pull)
 
     def age(self, pull: Pull) -> float:
         """Oldest copy that will do: never one older than a purge that this front knows of."""
-        dl = pull.dl
-        past = [self.purges[name] for name in (dl.asked.key, dl.asked.group) if name in self.purges]
+        asked, fresh = pull.dl.asked, pull.dl.type.fresh
+        past = [self.purges[name] for name in (asked.key, asked.group) if name in self.purges]
         since = max(self.router.now - max(past) - 0.001, 2e-6) if past else 0.0
-        return min(since, dl.type.fresh or since)
+        return min(since, fresh or since)
 
     def purged(self, note: face.Purged) -> None:
         facts, now = self.router.facts, self.router.now
@@ -417,7 +417,8 @@
         pull.result, pull.ended = note.result, note
         for actor in (*pull.caches(), dl):
             self.router.post(actor, pull)
-        for cache in pull.caches() if note.result is Result.FULFILLED else ():
+        served = note.result is Result.FULFILLED and not self.router.facts.weighted
+        for cache in pull.caches() if served else ():
             alike, now = self.router.placement.ready[cache.role], self.router.now
             if 2 * sum(c.part() >= 1 for c in alike) > len(alike) and cache.part() >= 1:
                 self.given[cache.role].add(now, self.router.mean_work(dl.type))
@@ -429,8 +430,8 @@
         maybe, kind = [p for p in dl.pulls if p.result not in NOT_RUN], dl.type
         known = maybe and self.router.now < maybe[0].sent + kind.window and kind.scope is Scope.ALL
         promise = kind.effect is Effect.RETRIABLE or not maybe or (kind.effect is Effect.DEDUPED and known)
-        wait = min(self.router.facts.longest_wait, BACK)
-        self.router.actions.append(face.Throttle(dl.asked.id, wait) if promise else face.Abandon(dl.asked.id))
+        name, wait = dl.asked.id, min(self.router.facts.longest_wait, BACK)
+        self.router.actions.append(face.Throttle(name, wait) if promise else face.Abandon(name))
         self.router.post(dl, face.Left(dl.asked.id))
 
 
@@ -440,7 +441,7 @@
         self.asked, self.type = asked, kind
         self.name = f"{asked.key} {asked.part}"  # a copy is one of a part: prefilter and hash go by parts
         self.pulls: list[Pull] = []
-        self.failed, self.ruled_out = set[Cache](), set[Cache]()
+        self.failed, self.ruled_out, self.ranks = set(), set(), {}  # caches; and what the hash draws for each
         self.missed: Cache | None = None  # the edge that was looked at and lacks the object
         self.closed, self.level, self.v_k = False, 0, 0.0
         self.suspects: list[Cache] = []  # answered with an error, and may be at fault for it
@@ -561,7 +562,7 @@
         self.pace = {
             (name, role): (Buckets(MEMORY), Buckets(MEMORY)) for name in facts.types for role in Role
         }
-        self.mean = dict.fromkeys(facts.types, (0.0, 0))
+        self.mean, self.kinds = dict.fromkeys(facts.types, (0.0, 0)), tuple(facts.types.values())
         self.busy: deque[Actor] = deque()
         self.actions: list[face.Action] = []
         self.watched = False
@@ -631,8 +632,7 @@
         return (total + PRIOR * kind.target) / (count + PRIOR)
 
     def densest(self, kind: face.ContentType) -> bool:
-        density = {k.name: k.benefit / self.mean_work(k) for k in self.facts.types.values()}
-        return density[kind.name] >= max(density.values())
+        return kind.benefit / self.mean_work(kind) >= max(k.benefit / self.mean_work(k) for k in self.kinds)
 
     def expected(self, dl: Download, role: Role) -> float:
         times, scale = (b.total(self.now) for b in self.pace[dl.type.name, role])
