--- a/weldbend/caches/connection.py
+++ b/weldbend/caches/connection.py
@@ -19,7 +19,8 @@
 IN = answers.LONGEST_BODY + answers.LONGEST_LINE + 2 * CHUNK
 KEPT = 1 << 17  # memory that a connection's ring keeps: answers come one after another
 MOST_UNDONE = 1024  # names of pulls given up that a connection remembers
-STALL = 0.4  # seconds in which the next byte of an answer that has begun must come
+STALL = 0.2  # seconds in which the next byte of an answer that has begun must come
+AGAIN = 0.02  # seconds after which that is looked at once more
 OUT = 1 << 17  # holds the longest command whole, and what comes behind it
 
 
@@ -173,14 +174,18 @@
         self.watched = True
         self.timers.after(STALL, self.look)
 
-    def look(self) -> None:
+    def look(self, sure: bool = False) -> None:
+        """Looked at twice: when this front itself was held up, what came meanwhile is still to be read."""
         self.watched = False
         if self.lost or self.resting or not self.incoming:
             return
-        if self.timers.now() >= self.heard + STALL:
+        if self.timers.now() < self.heard + STALL:
+            self.watch()
+        elif sure:
             self.spoilt("answers that stop in the middle")
         else:
-            self.watch()
+            self.watched = True
+            self.timers.after(AGAIN, lambda: self.look(sure=True))
 
     def spoilt(self, what: str) -> None:
         odd[what] += 1
