--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -270,6 +270,26 @@
     assert not stage.door.loop.downloads and not stage.door.loop.router.downloads
 
 
+def test_the_decisions_are_told_when_turns_come_late_and_not_after_a_pause():
+    stage, told = Stage(), []
+    handle = stage.door.loop.router.handle
+
+    def spy(now, events):
+        for event in events:
+            told.append(f"late {event.late:.2f}" if isinstance(event, face.Pressed) else type(event).__name__)
+            yield from ()
+        handle(now, [])
+
+    stage.door.loop.router.handle = lambda now, events: list(spy(now, events))
+    client = stage.client()
+    for number, wait in ((1, 0.0), (2, 0.05), (3, 0.3)):
+        stage.turn(1.0)
+        client.dataReceived(process(number))
+        stage.reactor.advance(wait)  # other sockets have their turn first
+        stage.turn()
+    assert told == ["Asked", "late 0.05", "Asked", "late 0.30", "Asked"]
+
+
 def test_more_than_the_site_allows_open_is_throttled():
     stage = Stage(open_cap=2)
     stage.say(stage.client(), process(1), process(2), process(3))
