--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -558,6 +558,21 @@
     assert odd == {"answers to nothing asked": 1, "garbage from a cache": 1}
 
 
+def test_a_pull_on_a_dropped_connection_has_ended_when_its_socket_is_closed_and_not_before():
+    """Told sooner, it may go out again while its cache still holds this one."""
+    stage, told = Stage(), []
+    stage.say(stage.client(), process(1))
+    stage.connect()
+    link, end = stage.caches["e2", 0], stage.door.loop.ended
+    stage.door.loop.ended = lambda *ended: (told.append(link.transport.disconnecting), end(*ended))
+    abort, link.transport.abortConnection = link.transport.abortConnection, lambda: None
+    link.dataReceived(b"no answer\r\n")
+    stage.turn()
+    assert told == [] and not link.takes("x")
+    abort()
+    assert told == [True]
+
+
 def test_an_answer_that_stops_in_the_middle_ends_its_connection_with_all_that_is_out_on_it():
     stage = Stage()
     stage.say(stage.client(), process(1), process(2))
--- a/weldbend/caches/connection.py
+++ b/weldbend/caches/connection.py
@@ -86,7 +86,8 @@
     out: dict[str, Pull] = field(default_factory=dict)
     undone: dict[str, None] = field(default_factory=dict)  # names whose answer may still be on its way
     transport: Any = None
-    paused = resting = retired = lost = watched = False
+    paused = resting = retired = lost = watched = dropped = False
+    how = Lost.RESET  # what is told of the pulls that are out when it ends
     made = used = heard = 0.0
 
     def connectionMade(self) -> None:
@@ -132,7 +133,7 @@
         Guards against second copies: the pull that takes another's place goes over another connection, the
         reactor writes to both in any order, and the process may be held up between them. Harm: none known.
         """
-        if not self.lost and not self.transport.disconnecting:
+        if not (self.lost or self.dropped or self.transport.disconnecting):
             self.transport.doWrite()
 
     def pump(self) -> None:
@@ -162,7 +163,7 @@
                 self.answered(answer)
         except BadAnswer:  # nothing that follows can be trusted
             self.spoilt("garbage from a cache")
-        if self.incoming and not (self.watched or self.lost or self.resting):
+        if self.incoming and not (self.watched or self.lost or self.dropped or self.resting):
             self.watch()
 
     def watch(self) -> None:
@@ -177,7 +178,7 @@
     def look(self, sure: bool = False) -> None:
         """Looked at twice: when this front itself was held up, what came meanwhile is still to be read."""
         self.watched = False
-        if self.lost or self.resting or not self.incoming:
+        if self.lost or self.dropped or self.resting or not self.incoming:
             return
         if self.timers.now() < self.heard + STALL:
             self.watch()
@@ -229,13 +230,16 @@
             self.transport.loseConnection()
 
     def drop(self, how: Lost = Lost.RESET) -> None:
-        """End it at once, with all that is out on it."""
-        if not self.lost:
-            self.end(how)
+        """End it at once; what is out on it has ended when the socket is closed, not before.
+
+        Guards against second copies: a pull told to have ended may go out again before this one is closed.
+        """
+        if not (self.lost or self.dropped):
+            self.how, self.dropped, self.retired = how, True, True
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
-        self.end(Lost.RESET)
+        self.end(self.how)
 
     def end(self, how: Lost) -> None:
         if self.lost:
--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -40,6 +40,7 @@
 PRIOR = 4  # downloads that a content type's target time counts for in its mean work
 BORNE = 0.5  # flows that a cache is held to bear before any was seen to bear more
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
+BROKEN_OFF = {Result.MISS, Result.SPOILT, Result.RESET}  # ends after which a further pull adds to no crowd
 PRESSED, CALM = 0.03, 0.5  # seconds by which turns may be late, and in which that is forgotten
 GRACE, SOON = 0.2, 0.5  # seconds in which a break is no restart yet, and none if a connection comes up
 MOST_ERRORS = 3  # caches that may answer one download with an error before it is given up
@@ -314,7 +315,7 @@
                 self.router.actions.append(face.CallOff(pull.dl.asked.id, pull.number))
             case face.Purged():
                 self.purged(note)
-            case Download():
+            case Download() if not note.closed:
                 self.answer(note)
 
     def pressed(self) -> float:
@@ -425,13 +426,11 @@
                 self.borne[cache.role] = self.given[cache.role].total(now) / MEMORY / len(alike)
 
     def answer(self, dl: "Download") -> None:
-        if dl.closed:
-            return
         maybe, kind = [p for p in dl.pulls if p.result not in NOT_RUN], dl.type
         known = maybe and self.router.now < maybe[0].sent + kind.window and kind.scope is Scope.ALL
         promise = kind.effect is Effect.RETRIABLE or not maybe or (kind.effect is Effect.DEDUPED and known)
-        name, wait = dl.asked.id, min(self.router.facts.longest_wait, BACK)
-        self.router.actions.append(face.Throttle(name, wait) if promise else face.Abandon(name))
+        last = face.Throttle(dl.asked.id, min(self.router.facts.longest_wait, BACK))
+        self.router.actions.append(last if promise else face.Abandon(dl.asked.id))
         self.router.post(dl, face.Left(dl.asked.id))
 
 
@@ -449,7 +448,7 @@
 
     def further(self) -> bool:
         """Whether another pull would repeat one, rather than fill what a look found missing."""
-        return any(p.result is not Result.MISS for p in self.pulls)
+        return any(p.result not in BROKEN_OFF and not p.silent for p in self.pulls)
 
     def out(self) -> list[Pull]:
         return [p for p in self.pulls if p.result is None]
