Heed an earlier run's words, refuse purges of no group, and date a start once

Bridge.changed passed by its own name, so what an earlier run of this front had said came back as held and never reached the decisions; the rule of purges let `g:abc` pass, and int() of it ended the link it came on; Bridge.hold and Names.entry worked out the moment of a start anew at each look, so two clocks that differ by a microsecond made one start another, and Cache.reset forgot that cache.

Change: Exchange.say tells nobody what the front itself has just said, and the bridge heeds every other word; RULES["purge"] checks its key; Names.started dates a stamp once.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,7 @@
 from functools import reduce
 
 import pytest
-from fronts import KEY, Stage, process
+from fronts import KEY, Stage, listing, process, target
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -645,16 +645,19 @@
         self.bridge = Bridge(door.loop, "n1", terms, self.stage.reactor, door.timers, 5)
         self.number = 0
 
-    def peer(self, kind, key, *value):
+    def peer(self, kind, key, *value, writer="n2"):
         self.number += 1
-        op = m.Op("n2", 9, self.number, kind, key, list(value), 0.0)
+        op = m.Op(writer, 9, self.number, kind, key, list(value), 0.0)
         if change := self.bridge.fleet.copies.take(op, self.stage.door.clock.now()):
             self.bridge.changed(change)
         self.stage.turn()
 
-    def phase(self, uid):
+    def cache(self, uid):
         loop = self.stage.door.loop
-        return loop.router.caches[loop.names.numbers[uid]].phase.name
+        return loop.router.caches[loop.names.numbers[uid]]
+
+    def phase(self, uid):
+        return self.cache(uid).phase.name
 
 
 def test_a_purge_of_a_peer_bounds_the_age_of_copies(tmp_path):
@@ -676,6 +679,32 @@
     assert told.phase("e2") == "READY", "no bus reaches that number"
 
 
+def test_a_purge_of_a_group_that_is_no_number_ends_nothing(tmp_path):
+    told = Told(tmp_path)
+    told.peer("purge", "g:abc", int(told.stage.unix() * 1000))
+    assert told.bridge.fleet.copies.counts["changes that fit no rule"] == 1
+    told.peer("purge", "g:17", int(told.stage.unix() * 1000))
+    assert told.bridge.counts["purges from peers"] == 1
+
+
+def test_what_an_earlier_run_of_this_front_said_is_heeded(tmp_path):
+    told = Told(tmp_path)
+    told.peer("drain", "e1", 9, 1, writer="n1")
+    assert told.phase("e1") == "DRAINING"
+
+
+def test_a_start_told_again_by_other_clocks_makes_nothing_forgotten(tmp_path):
+    told = Told(tmp_path)
+    stamp = int(told.stage.unix() * 1000)
+    told.peer("start", "e1", stamp)
+    cache, begun = told.cache("e1"), told.cache("e1").started
+    cache.good.add(told.stage.door.clock.now())
+    told.stage.unix = lambda: 1000.25 + told.stage.reactor.seconds()  # the clock is set by a quarter of a second
+    told.bridge.hold("e1")
+    told.stage.bus(listing(10, target("e1", port=1, boot=stamp)))
+    assert cache.started == begun and cache.good.total(told.stage.door.clock.now()) == 1
+
+
 def test_what_is_heeded_of_peers_is_stricter_or_nothing():
     assert held_state(None, 5) is None
     assert held_state((6, 0), 5) is None, "up loosens nothing"
--- a/weldbend/bus/names.py
+++ b/weldbend/bus/names.py
@@ -1,7 +1,8 @@
 """The bus's list of caches as the decisions know it: names become numbers, stamps the front's time."""
 
+import math
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from weldbend import interface as face
@@ -22,6 +23,7 @@
     roles: dict[str, face.Role]
     numbers: dict[str, int]
     uids: dict[int, str]
+    starts: dict[str, tuple[float, float]] = field(default_factory=dict)  # stamp, and the moment it is taken for
 
     def number(self, uid: str) -> int:
         if uid not in self.numbers:
@@ -34,6 +36,21 @@
     def forget(self, number: int) -> None:
         if (uid := self.uids.pop(number, None)) is not None:
             del self.numbers[uid]
+            self.starts.pop(uid, None)
+
+    def started(self, uid: str, stamp: float, latest: float = math.inf) -> float:
+        """A start's Unix stamp as a moment of the front, at most `latest`: the same each time that it is told.
+
+        Guards against clocks that differ by a little at each look: a start told again would pass for another,
+        and what is known of that cache would be forgotten.
+        """
+        held = self.starts.get(uid)
+        if held and held[0] == stamp:
+            return held[1]
+        moment = min(self.clock.moment(stamp), latest)
+        if not held or stamp > held[0]:
+            self.starts[uid] = stamp, moment
+        return moment
 
     def entry(self, target: Target) -> face.Entry:
         return face.Entry(
@@ -43,5 +60,5 @@
             cell=target.cell,
             role=self.roles[target.kind],
             phase=PHASES[target.state],
-            started=self.clock.moment(target.booted) if target.booted else None,
+            started=self.started(target.uid, target.booted) if target.booted else None,
         )
--- a/weldbend/fleet/bridge.py
+++ b/weldbend/fleet/bridge.py
@@ -59,7 +59,7 @@
                     if target.state != "up" or ("drain", target.uid) in self.fleet.copies.items:
                         self.fleet.say("drain", target.uid, numbered.offset, STATES.index(target.state))
                     if target.booted:
-                        self.fleet.say("start", target.uid, int(target.booted * 1000))
+                        self.fleet.say("start", target.uid, round(target.booted * 1000))
                     self.hold(target.uid)
             case Ban(key, group, at):
                 self.fleet.say("purge", f"k:{key}" if key else f"g:{group}", int(at * 1000))
@@ -68,8 +68,6 @@
     # What peers know.
 
     def changed(self, change: Change) -> None:
-        if change.writer == self.fleet.name:
-            return
         match change.kind:
             case "purge":
                 self.purged(change)
@@ -100,7 +98,7 @@
         phase = PHASES[state] if state else None
         started = None
         if start:
-            started = min(names.clock.moment(start.value[0] / 1000), self.loop.clock.now())
+            started = names.started(uid, start.value[0] / 1000, self.loop.clock.now())
         if phase is None and started is None:
             return
         number = names.numbers[uid]
--- a/weldbend/fleet/catchup.py
+++ b/weldbend/fleet/catchup.py
@@ -145,9 +145,7 @@
 
     def say(self, now: float, kind: str, key: str, *value: int | float | str) -> list[Say]:
         before = self.copies.number(self.copies.run)
-        change = self.copies.say(now, kind, key, *value)
-        if change:
-            self.changed(change)
+        self.copies.say(now, kind, key, *value)
         log = self.copies.logs.get(self.copies.run)
         if log is None or log.number == before:
             return []
--- a/weldbend/fleet/copies.py
+++ b/weldbend/fleet/copies.py
@@ -15,6 +15,7 @@
 """
 
 import math
+import re
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
@@ -53,9 +54,11 @@
     return key.rpartition("|")[2] == writer
 
 
+PURGED = re.compile(r"k:[\w.-]{1,64}|g:[0-9]{1,3}", re.ASCII)
+
 RULES: dict[str, Rule] = {
     # object `k:KEY` or group `g:N` -> Unix ms of the purge. The latest purge is the strictest.
-    "purge": Rule(lambda k, v, w: len(v) == 1 and whole(v[0]) and k[:2] in ("k:", "g:"), max, 60.0),
+    "purge": Rule(lambda k, v, w: len(v) == 1 and whole(v[0]) and PURGED.fullmatch(k) is not None, max, 60.0),
     # cache -> (revision of the list, 0 up, 1 draining, 2 gone). The newer list holds, in one the strictest.
     "drain": Rule(lambda k, v, w: len(v) == 2 and whole(v[0]) and whole(v[1], 0, 2), max, 600.0),
     # cache -> Unix ms of its start. The latest start is the coldest cache.
