Bind deduped repeats of other fronts' pulls, weigh their evidence, count wishes together

Keyed downloads, verdicts and popularity had joins, and no front wrote or heeded them.

Change: fleet/keyed.py (a deduped download that may have run elsewhere keeps its group and window; what cannot be known counts as run for one window), fleet/evidence.py (records of each front, weighed by age, zone and how well the writer does with everybody else, the heaviest accuser left out), fleet/popular.py (wishes by slot, decaying, of one zone). The bridge carries them to the one door: Asked.ran, Asked.elsewhere, RanToo, Evidence. Items that are no rule's leave half of the room to those that are.

Found by its test: a repeat whose hash picks a cache outside its group was given up although the group had a cache that could take it (Gate.refusal held every harmful pull for hopeless); such a cache is now ruled out and another asked.

--- /dev/null
+++ b/tests/test_knowledge.py
@@ -0,0 +1,184 @@
+"""What fronts know together, and what each makes of it: deduped downloads, evidence on caches, wishes."""
+
+import math
+
+import pytest
+from fronts import CACHES, Front, content, entry
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from weldbend import interface as face
+from weldbend.fleet import evidence, keyed, popular
+from weldbend.fleet.evidence import Teller, Word, combined, weight
+from weldbend.fleet.members import Member, State
+from weldbend.fleet.popular import Slots, Wishes
+from weldbend.interface import Effect, Ran, Result, Role, Scope
+
+# Deduped downloads that may have run elsewhere.
+
+ORDER = {"order": content("order", effect=Effect.DEDUPED, scope=Scope.CELL, at_origin=True)}
+ORIGINS = (entry(21, Role.ORIGIN, "h", cell=1), entry(22, Role.ORIGIN, "h", cell=2))
+
+
+def asked(ran, now=1.0):
+    front = Front(ORIGINS, types=ORDER, direct=True)
+    front.at(now, face.Asked("d", "k", 0, 3, "order", 0.0, True, now + 6.0, 0.0, tuple(ran)))
+    return front.trace[-1]
+
+
+def test_a_repeat_goes_only_to_the_group_in_which_another_front_had_it_run():
+    chosen = {asked([Ran("", cell, 0.5)]) for cell in (1, 2)}
+    assert {line.split()[2] for line in chosen} == {"21", "22"}
+    assert all(" look " in line or "fill" in line for line in chosen)
+
+
+@pytest.mark.parametrize(
+    "ran", [[Ran("!", -1, 0.9)], [Ran("", 1, -2.0)], [Ran("", 1, 0.9), Ran("", 2, 0.9)]],
+    ids=["in no group", "past its window", "in two groups"],
+)  # fmt: skip
+def test_a_repeat_that_no_group_would_drop_is_abandoned(ran):
+    assert asked(ran) == "1.00 d: abandoned"
+
+
+def test_news_of_a_pull_elsewhere_binds_a_download_that_is_open():
+    front = Front(ORIGINS, types=ORDER, direct=True)
+    front.ask("d", type="order", now=1.0)
+    front.end("d", Result.UNREACHED, now=1.1)
+    first = front.trace[-1].split()[2]
+    front.at(1.2, face.RanToo("d", Ran("", 1 if first == "22" else 2, 1.15)))
+    front.end("d", Result.UNREACHED, now=1.3)
+    tried = [line.split()[2] for line in front.trace if " look " in line]
+    assert tried[-1] != first or front.trace[-1].endswith("abandoned")
+    front.at(1.4, face.RanToo("nobody", Ran("", 1, 1.0)))
+
+
+def test_the_first_pull_is_dated_by_the_stricter_clock():
+    value = ("c:1", 99_000)  # at 99 s of the writer's Unix clock
+    assert keyed.ran(value, said=11.0, now=12.0, unix=101.0) == Ran("", 1, 10.0), "told again since"
+    assert (
+        keyed.ran(value, said=11.0, now=12.0, unix=95.0).sent == 11.0
+    ), "a clock ahead makes no window longer"
+    assert keyed.ran(value, said=11.0, now=12.0, unix=500.0).sent == 11.0, "one minutes behind is not heeded"
+    assert keyed.ran(("!", 99_000), 11.0, 12.0, 101.0).zone == "!"
+    assert keyed.ran(("z:upper", 99_000), 11.0, 12.0, 101.0).zone == "upper"
+    assert keyed.group_of(Scope.ALL, "z", 4) == ""
+
+
+def test_what_cannot_be_known_counts_as_run_for_a_window_and_no_longer():
+    doubt, here = keyed.Doubt(3.0), Member("b", epoch=5, state=State.ALIVE, heard=9.0)
+    assert not doubt.holds(True, {}, [here], 10.0)
+    assert doubt.holds(False, {}, [here], 10.0), "not caught up"
+    assert doubt.holds(True, {"b": 9.0}, [here], 10.0), "its link was lost a second ago"
+    assert not doubt.holds(True, {"b": 6.0}, [here], 10.0)
+    dead = Member("b", epoch=5, state=State.DEAD, since=8.0, heard=4.0)
+    assert doubt.holds(True, {}, [dead], 10.0) and not doubt.holds(True, {}, [dead], 12.0)
+    assert not doubt.holds(True, {}, [Member("c")], 10.0), "one never heard of"
+
+
+# Evidence on caches.
+
+
+def words(*records, whole=(100.0, 0.0), **held):
+    return [Word(f"w{n}", held.get("near", True), held.get("age", 0.0), record, whole)
+            for n, record in enumerate(records)]  # fmt: skip
+
+
+def test_no_front_alone_makes_another_doubt_a_cache():
+    assert combined(words((0.0, 1e9))) == (0.0, 0.0)
+    assert combined(words((0.0, 1e9), (5.0, 0.0), (5.0, 0.0))) == (0.0, 0.0)
+    assert combined(words((0.0, 4.0), (0.0, 4.0)))[1] > 3
+
+
+def test_a_word_counts_less_the_older_the_further_and_the_worse_its_writer_does_everywhere():
+    (plain,), (old,), (far,) = words((0.0, 4.0)), words((0.0, 4.0), age=5.0), words((0.0, 4.0), near=False)
+    assert weight(old) == pytest.approx(weight(plain) / 2) and weight(far) == weight(plain) / 2
+    (own_line,) = words((0.0, 4.0), whole=(2.0, 40.0))
+    assert weight(own_line) < 0.02 * weight(plain)
+    assert weight(words((0.0, 4.0), age=evidence.SPAN + 1)[0]) == 0
+
+
+@settings(max_examples=200, derandomize=True)
+@given(
+    st.lists(st.tuples(st.floats(0, 1e9), st.floats(0, 1e9), st.floats(0, 30), st.booleans()), max_size=8),
+    st.tuples(st.floats(0, 1e9), st.floats(0, 1e9)),
+)
+def test_whatever_is_claimed_evidence_is_bounded(told, whole):
+    found = [Word(f"w{n}", near, age, (good, bad), whole) for n, (good, bad, age, near) in enumerate(told)]
+    good, bad = combined(found)
+    assert math.isfinite(good) and good + bad <= evidence.MOST * max(len(found) - 1, 0) + 1e-6
+
+
+def test_a_front_speaks_of_what_ends_badly_and_says_when_it_is_well_again():
+    teller = Teller()
+    assert teller.words(0.0, {"e1": (9.0, 0.0)}) == []
+    assert teller.words(1.0, {"e1": (9.0, 2.0), "e2": (5.0, 0.0)}) == [("e1", (9.0, 2.0)), ("*", (14.0, 2.0))]
+    assert teller.words(2.0, {"e1": (9.0, 2.0), "e2": (6.0, 0.0)}) == [], "no news"
+    assert teller.words(4.5, {"e1": (9.0, 2.0), "e2": (6.0, 0.0)})[0] == ("e1", (9.0, 2.0)), "said again"
+    assert ("e1", (9.0, 0.0)) in teller.words(5.0, {"e1": (9.0, 0.0)})
+    assert teller.words(9.0, {"e1": (9.0, 0.0)}) == []
+
+
+def test_evidence_of_peers_has_a_cache_passed_by_that_this_front_never_saw_fail():
+    def share(good, bad):
+        front = Front(CACHES)
+        front.ask("x", now=1.0)
+        first = int(front.trace[-1].split()[2])
+        front.end("x", Result.FULFILLED)
+        front.at(1.0, face.Evidence(first, good, bad))
+        for n in range(200):
+            front.ask(f"d{n}", now=2.0 + n / 50)
+            front.end(f"d{n}", Result.FULFILLED, now=2.01 + n / 50)
+        looks = [line for line in front.trace[1:] if " look " in line]
+        return sum(int(line.split()[2]) == first for line in looks) / len(looks)
+
+    assert share(0.0, 0.0) == 1.0
+    assert share(0.0, 9.0) < 0.2
+
+
+# What others were asked for.
+
+
+def test_a_slot_is_told_whole_and_counted_once_for_each_front():
+    slots = Slots()
+    assert slots.turn(0.0) is None
+    names = [popular.hash_of("a", part) for part in range(50)]
+    for name in names * 3:
+        slots.asked(name)
+    assert slots.turn(1.0) is None
+    number, text = slots.turn(popular.SLOT)
+    wishes = Wishes()
+    for item in ("1|n2", "1|n3", "1|n3"):
+        wishes.take(item, text, 100.0)
+    assert number == 1 and {wishes.of(name) for name in names} == {2}
+    wishes.take("1|n3", popular.packed(names[:1]), 200.0)
+    assert wishes.of(names[0]) == 2 and wishes.of(names[1]) == 1
+    wishes.forget(100.0)
+    assert wishes.of(names[0]) == 1 and wishes.of(names[1]) == 0
+    wishes.forget(200.0)
+    assert not wishes.counts and wishes.names == 0
+
+
+def test_slots_and_what_is_held_of_them_are_bounded(monkeypatch):
+    slots = Slots(begun=0.0)
+    for name in range(popular.NAMES + 10):
+        slots.asked(name)
+    assert slots.left_out == 10
+    _, text = slots.turn(5.0)
+    assert len(text) <= 2048, "the codec's bound on one text"
+    wishes = Wishes()
+    for bad in ("not base85 \x01", popular.packed(list(range(popular.NAMES + 1))), text + "00"):
+        wishes.take("1|n2", bad, 9.0)
+    assert wishes.unread == 3 and wishes.names == 0
+    monkeypatch.setattr(popular, "MOST", popular.NAMES)
+    wishes.take("1|n2", text, 9.0)
+    wishes.take("2|n2", text, 9.0)
+    assert wishes.names == popular.NAMES and wishes.unread == 4
+
+
+def test_a_wish_that_another_front_had_before_counts_as_the_second_one():
+    def kept(elsewhere):
+        front = Front(CACHES)
+        front.at(1.0, face.Asked("d", "k", 0, 3, "photo", 0.0, False, 7.0, 0.0, (), elsewhere))
+        return front.trace[-1].split()[-1]
+
+    assert [kept(n) for n in (0, 1, 3)] == ["0", "2", "2"]
--- a/weldbend/bus/names.py
+++ b/weldbend/bus/names.py
@@ -23,7 +23,7 @@
     roles: dict[str, face.Role]
     numbers: dict[str, int]
     uids: dict[int, str]
-    starts: dict[str, tuple[float, float]] = field(default_factory=dict)  # stamp, and the moment it is taken for
+    starts: dict[str, tuple[float, float]] = field(default_factory=dict)  # stamp, its moment
 
     def number(self, uid: str) -> int:
         if uid not in self.numbers:
@@ -39,7 +39,7 @@
             self.starts.pop(uid, None)
 
     def started(self, uid: str, stamp: float, latest: float = math.inf) -> float:
-        """A start's Unix stamp as a moment of the front, at most `latest`: the same each time that it is told.
+        """A start's Unix stamp as a moment of the front, at most `latest`: the same each time it is told.
 
         Guards against clocks that differ by a little at each look: a start told again would pass for another,
         and what is known of that cache would be forgotten.
--- a/weldbend/fleet/bridge.py
+++ b/weldbend/fleet/bridge.py
@@ -1,12 +1,13 @@
-"""Between a front and its fleet: what the bus told goes out, what has become stricter comes in.
+"""Between a front and its fleet: what this front knows goes out, what others know comes in, at the same door.
 
-Whatever comes from a peer may make this front stricter at once and loosens nothing: a purge bounds the age
-of copies, a drain or removal of a newer list than this front has read takes a cache out, a later start makes
-it cold. What the front's own bus says of a cache holds again once it has read as far as the list that a peer
-spoke of.
+Whatever comes from a peer may make this front stricter at once and loosens nothing: a purge bounds the age of
+copies, a drain or removal of a newer list than this front has read takes a cache out, a later start makes it
+cold, a deduped download that may have run elsewhere is bound to its group and window. What the front's own
+bus says of a cache holds again once it has read as far as the list that a peer spoke of. Evidence on caches
+and counts of wishes are no rule's: the decisions weigh them with what the front sees itself.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import Any
 
 from loguru import logger
@@ -14,22 +15,33 @@
 from weldbend import interface as face
 from weldbend.bus.events import Ban, Numbered, Topology
 from weldbend.bus.names import PHASES
+from weldbend.fleet import evidence, keyed, popular
 from weldbend.fleet.control import Control
-from weldbend.fleet.copies import Change
+from weldbend.fleet.copies import RULES, Change
+from weldbend.fleet.evidence import Teller, Word
+from weldbend.fleet.popular import Slots, Wishes
 from weldbend.fleet.service import BadFleet, Fleet
 from weldbend.fleet.strict import STATES, Purges, held_state
 from weldbend.fleet.terms import Terms
+from weldbend.interface import Effect, Scope
+
+TICK = 1.0  # seconds between two looks at what to say of caches and wishes, and at what others say
 
 
 class Bridge:
     """Made by a front that has a fleet; `loop` is its loop round the decisions."""
 
     def __init__(self, loop: Any, name: str, terms: Terms, reactor: Any, timers: Any, offset: int) -> None:
-        self.loop, self.offset = loop, offset
+        self.loop, self.offset, self.timers = loop, offset, timers
         self.fleet, self.reactor = Fleet(reactor, timers, name, terms, self.changed), reactor
         self.control = Control(self.fleet)
         self.counts: Counter[str] = Counter()
-        self.purges = Purges()
+        self.purges, self.teller, self.slots, self.wishes = Purges(), Teller(), Slots(), Wishes()
+        self.number = 0  # of what this run says in its own words
+        self.doubted: dict[int, tuple[float, float]] = {}  # the evidence that the decisions hold
+        deduped = [t for t in loop.site.facts.types.values() if t.effect is Effect.DEDUPED]
+        self.doubt = keyed.Doubt(max((t.window for t in deduped), default=0.0))
+        loop.peers = self
 
     def start(self, known: list[Numbered]) -> None:
         self.fleet.start()
@@ -37,6 +49,7 @@
             self.control.listen(self.reactor)
         for numbered in known:
             self.told(numbered)
+        self.timers.after(TICK, self.tick)
 
     def stop(self) -> None:
         self.fleet.stop()
@@ -65,6 +78,40 @@
                 self.fleet.say("purge", f"k:{key}" if key else f"g:{group}", int(at * 1000))
         self.fleet.say("bus", self.fleet.name, self.offset)
 
+    # What the front does, as its loop tells it.
+
+    def asked(self, type: str, key: str, part: int, repeat: bool) -> int:
+        """A client's wish, counted here; how often other fronts of the zone had it lately."""
+        if self.loop.site.facts.types[type].at_origin or not self.fleet.terms.popularity:
+            return 0
+        name = popular.hash_of(key, part)
+        if not repeat:
+            self.slots.asked(name)
+        return self.wishes.of(name)
+
+    def ran(self, type: str, once: str, repeat: bool) -> tuple[face.Ran, ...]:
+        """Earlier pulls of a deduped download, at any front, that may have run."""
+        kind, now = self.loop.site.facts.types[type], self.timers.now()
+        if kind.effect is not Effect.DEDUPED:
+            return ()
+        item = self.fleet.copies.items.get(("keyed", once))
+        if item and item.live(RULES["keyed"], now):
+            self.counts["downloads that may have run"] += 1
+            return (keyed.ran(item.value, item.said, now, self.loop.clock.unix()),)
+        members = self.fleet.members.members.values()
+        unsure = self.doubt.holds(self.fleet.exchange.whole, self.fleet.lost, members, now)
+        if repeat and kind.scope is not Scope.ALL and unsure:
+            self.counts["repeats held for run, not knowing"] += 1
+            return (face.Ran(keyed.NOWHERE, -1, now),)
+        return ()
+
+    def sent(self, type: str, once: str, cache: int) -> None:
+        """A pull of a deduped download goes out: others are told before its bytes leave."""
+        kind, held = self.loop.site.facts.types[type], self.loop.router.caches.get(cache)
+        if kind.effect is Effect.DEDUPED and held:
+            group = keyed.group_of(kind.scope, held.zone, held.cell)
+            self.fleet.say("keyed", once, group, int(self.loop.clock.unix() * 1000))
+
     # What peers know.
 
     def changed(self, change: Change) -> None:
@@ -73,6 +120,10 @@
                 self.purged(change)
             case "drain" | "start":
                 self.hold(change.key)
+            case "keyed":
+                self.ran_too(change)
+            case "popular":
+                self.wished(change)
 
     def purged(self, change: Change) -> None:
         clock = self.loop.clock
@@ -112,3 +163,71 @@
                 phase.name,
                 drain.value[0],
             )
+
+    def ran_too(self, change: Change) -> None:
+        now, unix = self.timers.now(), self.loop.clock.unix()
+        for dl in self.loop.open.values():
+            if dl.wish.once == change.key:
+                held = keyed.ran(change.value, now - change.age, now, unix)
+                self.loop.post(face.RanToo(dl.name, held))
+
+    def wished(self, change: Change) -> None:
+        """Fronts of the same zone ask the same edges; words of this name are those of an earlier run."""
+        terms, writer = self.fleet.terms, change.key.rpartition("|")[2]
+        zones = {peer.name: peer.zone for peer in terms.peers} | {self.fleet.name: terms.zone}
+        if terms.popularity and zones.get(writer) == terms.zone:
+            until = self.timers.now() + RULES["popular"].keep - change.age
+            self.wishes.take(change.key, str(change.value[2]), until)
+
+    # Time.
+
+    def tick(self) -> None:
+        if self.fleet.stopped:
+            return
+        now = self.timers.now()
+        self.wishes.forget(now)
+        if self.fleet.terms.popularity and (slot := self.slots.turn(now)):
+            key = f"{slot[0] % popular.SLOTS}|{self.fleet.name}"
+            self.wishes.drop(key)  # of an earlier run of this front
+            self.fleet.say("popular", key, self.fleet.copies.epoch, *slot)
+        self.say_evidence(now)
+        self.weigh(now)
+        self.timers.after(TICK, self.tick)
+
+    def say_evidence(self, now: float) -> None:
+        uids, record = self.loop.names.uids, self.loop.router.record(now)
+        for uid, held in self.teller.words(now, {uids[n]: r for n, r in record.items() if n in uids}):
+            self.number += 1
+            self.fleet.say(
+                "evidence", f"{uid}|{self.fleet.name}", self.fleet.copies.epoch, self.number, *held
+            )
+
+    def words(self, now: float) -> dict[str, list[Word]]:
+        """What other members say of each cache now."""
+        said: dict[str, dict[str, tuple[float, tuple[float, float]]]] = defaultdict(dict)
+        for (kind, key), item in self.fleet.copies.items.items():
+            if kind == "evidence" and now - item.said < evidence.SPAN:
+                uid, _, writer = key.rpartition("|")
+                said[uid][writer] = now - item.said, (float(item.value[2]), float(item.value[3]))
+        terms = self.fleet.terms
+        near = {peer.name: peer.zone == terms.zone for peer in terms.peers if peer.name != self.fleet.name}
+        whole = {writer: record for writer, (_, record) in said.pop(evidence.ALL, {}).items()}
+        return {
+            uid: [
+                Word(writer, near[writer], age, record, whole.get(writer, record))
+                for writer, (age, record) in sorted(words.items())
+                if writer in near
+            ]
+            for uid, words in said.items()
+        }
+
+    def weigh(self, now: float) -> None:
+        """Tell the decisions what others' evidence on each cache amounts to, where that has changed."""
+        numbers = self.loop.names.numbers
+        found = {numbers[u]: evidence.combined(words) for u, words in self.words(now).items() if u in numbers}
+        held = {number: record for number, record in found.items() if record[1]}
+        for number in {*held, *self.doubted}:
+            record = held.get(number, (0.0, 0.0))
+            if record != self.doubted.get(number, (0.0, 0.0)):
+                self.loop.post(face.Evidence(number, *record))
+        self.doubted = held
--- a/weldbend/fleet/copies.py
+++ b/weldbend/fleet/copies.py
@@ -50,10 +50,25 @@
     return isinstance(value, int) and not isinstance(value, bool) and least <= value <= most
 
 
+def figure(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value <= 1e9
+
+
+def group(value: object) -> bool:
+    return isinstance(value, str) and GROUP.fullmatch(value) is not None
+
+
+def earliest(one: Value, other: Value) -> Value:
+    """Of a download that two fronts have had run: in one group since the first, or in no group at all."""
+    return one[0] if one[0] == other[0] else NOWHERE, min(one[1], other[1])
+
+
 def by_writer(key: str, writer: str) -> bool:
     return key.rpartition("|")[2] == writer
 
 
+ANYWHERE, NOWHERE = "", "!"  # groups of a deduped download: all caches, and none
+GROUP = re.compile(r"|!|z:[\w.:-]{1,48}|c:[0-9]{1,9}", re.ASCII)
 PURGED = re.compile(r"k:[\w.-]{1,64}|g:[0-9]{1,3}", re.ASCII)
 
 RULES: dict[str, Rule] = {
@@ -63,11 +78,23 @@
     "drain": Rule(lambda k, v, w: len(v) == 2 and whole(v[0]) and whole(v[1], 0, 2), max, 600.0),
     # cache -> Unix ms of its start. The latest start is the coldest cache.
     "start": Rule(lambda k, v, w: len(v) == 1 and whole(v[0]), max, 120.0),
-    # idempotency key -> (group that it may have run in: 0 anywhere, else a crc); of two groups: -1, none
-    "keyed": Rule(lambda k, v, w: len(v) == 1 and whole(v[0], -1), lambda a, b: a if a == b else (-1,), 30.0),
-    # cache|writer -> (epoch, number, good, bad) of one front's evidence: its own latest word
-    "verdict": Rule(
-        lambda k, v, w: len(v) == 4 and all(whole(x) for x in v[:2]) and by_writer(k, w), max, 20.0
+    # idempotency key -> (group that it may have run in, Unix ms of the first pull); of two groups: none
+    "keyed": Rule(lambda k, v, w: len(v) == 2 and group(v[0]) and whole(v[1]), earliest, 30.0),
+    # cache|writer -> (epoch, number, good, bad): how one front's pulls there ended, its own latest word
+    "evidence": Rule(
+        lambda k, v, w: len(v) == 4
+        and all(map(whole, v[:2]))
+        and all(map(figure, v[2:]))
+        and by_writer(k, w),
+        max,
+        20.0,
+    ),
+    # slot|writer -> (epoch, number, packed names) of objects that one front was asked for in some seconds
+    "popular": Rule(
+        lambda k, v, w: len(v) == 3 and all(map(whole, v[:2])) and isinstance(v[2], str) and by_writer(k, w),
+        max,
+        256.0,
+        False,
     ),
     # writer's last event read from the bus
     "bus": Rule(lambda k, v, w: len(v) == 1 and whole(v[0]) and by_writer("|" + k, w), max, 600.0, False),
@@ -76,6 +103,9 @@
 }
 
 
+BY_WRITER = ("evidence", "popular", "bus")  # whose key names the one who may write it
+
+
 @dataclass(slots=True)
 class Item:
     value: Value
@@ -148,7 +178,8 @@
             return None
         held = self.items.get((op.kind, op.key))
         if held is None or not held.live(rule, now):
-            if held is None and len(self.items) >= MOST_ITEMS and not self.forget(now):
+            most = MOST_ITEMS if rule.strict else MOST_ITEMS // 2  # what is no rule's leaves room for what is
+            if held is None and len(self.items) >= most and not self.forget(now):
                 self.counts["items over the bound"] += 1
                 return None
             self.items[op.kind, op.key] = Item(value, said)
@@ -236,7 +267,7 @@
             for text in part:
                 kind, _, key = text.partition(" ")
                 if (item := self.items.get((kind, key))) and item.live(RULES[kind], now):
-                    writer = key.rpartition("|")[2] if kind in ("verdict", "bus") else self.name
+                    writer = key.rpartition("|")[2] if kind in BY_WRITER else self.name
                     ops.append(Op(writer, 0, 0, kind, key, list(item.value), max(now - item.said, 0.0)))
             yield ops, part[-1] if part else after, not rest
             if not rest:
--- a/weldbend/fleet/messages.py
+++ b/weldbend/fleet/messages.py
@@ -87,7 +87,7 @@
     number: Count  # from 1 in each epoch, without gaps
     kind: Annotated[str, Meta(max_length=12)]
     key: Annotated[str, Meta(max_length=96)]
-    value: Annotated[list[int | float | str], Meta(max_length=8)]
+    value: Annotated[list[int | float | Annotated[str, Meta(max_length=2048)]], Meta(max_length=8)]
     age: Seconds  # since the writer said it
 
 
--- a/weldbend/fleet/service.py
+++ b/weldbend/fleet/service.py
@@ -79,6 +79,7 @@
         self.udp: Any = None
         self.counts: Counter[str] = Counter()
         self.second, self.heard_in_it = 0, 0
+        self.lost: dict[str, float] = {}  # when each peer's link was lost last
         self.sight = Sight.WAKING
         self.stopped = False
 
@@ -221,6 +222,7 @@
         self.carry(self.exchange.up(peer, self.timers.now()))
 
     def link_down(self, peer: str) -> None:
+        self.lost[peer] = self.timers.now()
         self.carry(self.exchange.down(peer, self.timers.now()))
 
     def link_heard(self, peer: str, epoch: int, body: m.Linked) -> None:
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -9,7 +9,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from loguru import logger
 
@@ -46,6 +46,14 @@
         return any(not pull.over for pull in self.pulls)
 
 
+class Peers(Protocol):
+    """What a front's fleet is told of its downloads, and what it knows of them; the platform has none."""
+
+    def asked(self, type: str, key: str, part: int, repeat: bool) -> int: ...
+    def ran(self, type: str, once: str, repeat: bool) -> tuple[face.Ran, ...]: ...
+    def sent(self, type: str, once: str, cache: int) -> None: ...
+
+
 PAUSE, LATE = 0.001, 0.005  # seconds between turns that are a pause, and of a turn that is told to be late
 MOST_SHOWN = 10  # faults logged between two lines of counters
 
@@ -71,6 +79,7 @@
             self.rested
         ) = -math.inf  # when what this turn holds began to come, and the last turn's end
         self.asked: dict[str, tuple[int, float]] = {}
+        self.peers: Peers | None = None
         self.counts: Counter[str] = Counter()
 
     # What clients bring.
@@ -104,12 +113,15 @@
         dl = self.downloads[name] = self.open[wish.name] = Download(name, wish, call, until)
         dl.timers.append(self.timers.at(until, lambda: self.guard(dl, self.expire)))
         self.counts["downloads"] += 1
-        work = wish.kb / self.site.flow
+        work, peers = wish.kb / self.site.flow, self.peers
+        ran = peers.ran(wish.type, wish.once, wish.repeat) if peers and wish.once else ()
+        elsewhere = peers.asked(wish.type, wish.key, wish.part, wish.repeat) if peers else 0
         self.post(
             face.Asked(
-                name, wish.key, wish.part, wish.group, wish.type, work, wish.repeat, until, call.waited
+                name, wish.key, wish.part, wish.group, wish.type, work, wish.repeat, until, call.waited,
+                ran, elsewhere,
             )
-        )
+        )  # fmt: skip
 
     def clash(self, call: Call, open_call: Call) -> None:
         """Guards caches against two downloads under one name; who brought both loses both."""
@@ -303,6 +315,8 @@
         def command() -> bytes:
             left = dl.until - self.clock.now()
             wait = min(action.patience, left) if action.patience else left
+            if self.peers and dl.wish.once:
+                self.peers.sent(dl.wish.type, dl.wish.once, action.cache)
             return commands.do(dl.wish.name, words.order(dl.wish, action, source, wait), dl.wish.body)
 
         pull = Pull(
--- a/weldbend/installation/keys.py
+++ b/weldbend/installation/keys.py
@@ -141,6 +141,12 @@
     return text
 
 
+def switch(text: str) -> bool:
+    if text not in ("on", "off"):
+        raise BadValue(f"{text!r:.40} is neither on nor off")
+    return text == "on"
+
+
 def path(text: str) -> str:
     return word_or_none(text)
 
@@ -194,6 +200,7 @@
             Key("rate", "rate", whole(10_000, 100_000_000)),
             Key("outbox", "outbox", whole(65_536, 64_000_000)),
             Key("ops", "ops", whole(16, 65_536)),
+            Key("popularity", "popularity", switch, lambda held: "on" if held else "off"),
         ),
         fleet.Terms(),
         fleet_agrees,
--- a/weldbend/interface.py
+++ b/weldbend/interface.py
@@ -146,6 +146,20 @@
     entries: tuple[Entry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """A pull of the same deduped download that another front sent and that may have run: where, and when."""
+
+    zone: str
+    cell: int
+    sent: float
+
+    @property
+    def cache(self) -> "Ran":
+        """What of its cache is known: the group that drops repeats."""
+        return self
+
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     id: str
@@ -157,6 +171,8 @@
     repeat: bool
     until: float
     waited: float = 0.0  # for which it lay at the door while others that had come before were read
+    ran: tuple[Ran, ...] = ()  # at other fronts, of an earlier try of it
+    elsewhere: int = 0  # times that other fronts were asked for the object lately
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,6 +227,23 @@
     started: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class RanToo:
+    """News of a download that is open: another front may have had it run."""
+
+    id: str
+    ran: Ran
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """How pulls at a cache ended at other fronts lately, weighed: answers that it counts as, good and bad."""
+
+    cache: int
+    good: float
+    bad: float
+
+
 @dataclass(frozen=True, slots=True)
 class Probed:
     cache: int
@@ -232,7 +265,10 @@
     text: bytes
 
 
-Event = Listed | Asked | Began | Ended | Left | Purged | Woke | Reached | Known | Probed | Pressed | Told
+Event = (
+    Listed | Asked | Began | Ended | Left | Purged | Woke | Reached | Known | RanToo | Evidence | Probed
+    | Pressed | Told
+)  # fmt: skip
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldbend/lab/fleet/virtual.py
+++ b/weldbend/lab/fleet/virtual.py
@@ -274,15 +274,15 @@
     def speak(self) -> None:
         """One change of some front, of any kind."""
         name = self.rng.choice(self.names)
-        kind = self.rng.choice(("purge", "drain", "start", "keyed", "verdict", "setting"))
+        kind = self.rng.choice(("purge", "drain", "start", "keyed", "evidence", "setting"))
         thing = f"c{self.rng.randrange(12)}"
         ms = int(self.now * 1000)
         key, value = {
             "purge": (f"k:{thing}", (ms,)),
             "drain": (thing, (ms // 5000, self.rng.randrange(3))),
             "start": (thing, (ms,)),
-            "keyed": (f"once{self.rng.randrange(60)}", (self.rng.randrange(4),)),
-            "verdict": (f"{thing}|{name}", (ms, 1, 3.0, float(self.rng.randrange(5)))),
+            "keyed": (f"once{self.rng.randrange(60)}", (f"c:{self.rng.randrange(4)}", ms)),
+            "evidence": (f"{thing}|{name}", (ms, 1, 3.0, float(self.rng.randrange(5)))),
             "setting": (thing, (ms, "x")),
         }[kind]
         node = self.nodes.get(name)
--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -94,6 +94,7 @@
         self.id, self.role, self.zone, self.cell = entry.id, entry.role, entry.zone, entry.cell
         self.phase, self.weight, self.started = entry.phase, entry.weight, entry.started
         self.out: dict[Pull, None] = {}
+        self.heard = (0.0, 0.0)  # good and bad answers that peers' evidence counts for
         self.reset()
 
     def reset(self) -> None:
@@ -125,6 +126,8 @@
                     self.reset()
                 if note.phase and note.phase.value > self.phase.value:
                     self.phase = note.phase
+            case face.Evidence(_, good, bad):
+                self.heard = good, bad
             case Pull() if note.at() is not self:
                 self.through = max(0, self.through + (1 if note.result is None else -1))
             case Pull(result=None):
@@ -186,11 +189,13 @@
 
         Prior and bar are the peers': what strikes all alike scatters nothing, nor does one failure where few
         are seen. Harm: after a short trouble a sound cache is passed by for up to MEMORY."""
-        return self.bad.total(self.router.now) == 0 or self.draw(peers) > BAR * peers
+        doubts = self.bad.total(self.router.now) + self.heard[1]
+        return doubts == 0 or self.draw(peers) > BAR * peers
 
     def draw(self, peers: float = 0.5) -> float:
-        now, prior = self.router.now, 2 * min(max(peers, 0.1), 0.95)
-        return self.router.chance.betavariate(prior + self.good.total(now), 2 - prior + self.bad.total(now))
+        now, prior, (good, bad) = self.router.now, 2 * min(max(peers, 0.1), 0.95), self.heard
+        good, bad = good + self.good.total(now), bad + self.bad.total(now)
+        return self.router.chance.betavariate(prior + good, 2 - prior + bad)
 
 
 class Tier:
@@ -242,6 +247,7 @@
         self.levels[note.name] = level = min(max(level + (not note.asked.repeat), 1), KMAX)
         if len(self.levels) > TABLE:
             self.levels.popitem(last=False)
+        level = min(level + note.asked.elsewhere, KMAX)
         self.router.post(note, (level, 1 - len(self.levels) / TABLE))
 
 
@@ -397,6 +403,8 @@
         over = dl.closed or now >= dl.asked.until or len(dl.pulls) >= facts.most_pulls
         if hopeless or spent or over or not self.harmless(pull):
             return Stuck(None)
+        if not self.dropped(pull):
+            return Stuck(pull.cache)
         dense = self.router.densest(dl.type)
         if pull.at().role is Role.PARENT and not dl.type.at_origin and not self.router.tier.room(dense):
             return Stuck(None)
@@ -412,13 +420,17 @@
         dl, now, facts = pull.dl, self.router.now, self.router.facts
         if not facts.second_copies and any(p.result is None for p in dl.pulls):
             return False
-        maybe = [p for p in dl.pulls if p.result not in NOT_RUN]
+        maybe = dl.maybe()
         if not maybe or dl.type.effect is Effect.RETRIABLE:
             return True
-        if dl.type.effect is Effect.NON_RETRIABLE or now >= maybe[0].sent + dl.type.window - 2 * facts.tick:
-            return False
-        group = {Scope.ZONE: "zone", Scope.CELL: "cell"}.get(dl.type.scope)
-        return not group or all(getattr(p.cache, group) == getattr(pull.cache, group) for p in maybe)
+        return dl.type.effect is Effect.DEDUPED and now < maybe[0].sent + dl.type.window - 2 * facts.tick
+
+    def dropped(self, pull: Pull) -> bool:
+        """Whether its cache drops a repeat of what may have run; where it does not, another may."""
+        kind, group = pull.dl.type, {Scope.ZONE: "zone", Scope.CELL: "cell"}.get(pull.dl.type.scope)
+        if kind.effect is not Effect.DEDUPED or not group:
+            return True
+        return all(getattr(p.cache, group) == getattr(pull.cache, group) for p in pull.dl.maybe())
 
     def bears(self, cache: Cache, dl: "Download") -> bool:
         """A cache that started lately gets this front's share of what it can bear, and no more."""
@@ -485,7 +497,7 @@
                 self.borne[cache.role] = self.given[cache.role].total(now) / MEMORY / len(alike)
 
     def answer(self, dl: "Download") -> None:
-        maybe, kind = [p for p in dl.pulls if p.result not in NOT_RUN], dl.type
+        maybe, kind = dl.maybe(), dl.type
         known = maybe and self.router.now < maybe[0].sent + kind.window and kind.scope is Scope.ALL
         promise = kind.effect is Effect.RETRIABLE or not maybe or (kind.effect is Effect.DEDUPED and known)
         last = face.Throttle(dl.asked.id, min(self.router.facts.longest_wait, BACK))
@@ -496,7 +508,7 @@
 class Download(Actor):
     def __init__(self, router: "Router", asked: face.Asked, kind: face.ContentType) -> None:
         super().__init__(router)
-        self.asked, self.type = asked, kind
+        self.asked, self.type, self.ran = asked, kind, list(asked.ran)
         self.name = f"{asked.key} {asked.part}"  # a copy is one of a part: prefilter and hash go by parts
         self.pulls: list[Pull] = []
         self.failed, self.ruled_out, self.ranks = set(), set(), {}  # caches; and what the hash draws for each
@@ -509,6 +521,10 @@
         """Whether another pull would repeat one, rather than fill what a look found missing."""
         return any(p.result not in BROKEN_OFF and not p.silent for p in self.pulls)
 
+    def maybe(self) -> list[Any]:
+        """Pulls that may have run, the first one first: other fronts' of an earlier try, and this front's."""
+        return sorted(self.ran, key=lambda r: r.sent) + [p for p in self.pulls if p.result not in NOT_RUN]
+
     def out(self) -> list[Pull]:
         return [p for p in self.pulls if p.result is None]
 
@@ -537,6 +553,8 @@
                 router.post(router.gate, self)
             case face.Began():
                 self.closed = True
+            case face.RanToo():
+                self.ran.append(note.ran)
             case Doubt(pull, silent) if pull.result is None:
                 self.doubt(pull, silent)
             case face.Woke():
@@ -652,7 +670,7 @@
                 yield from self.listed(event)
             case face.Asked() | face.Ended() | face.Purged() | face.Pressed():
                 yield self.gate, event
-            case face.Left() | face.Began():
+            case face.Left() | face.Began() | face.RanToo():
                 if event.id in self.downloads:
                     yield self.downloads[event.id], event
             case face.Woke("watch"):
@@ -661,7 +679,7 @@
                 why, name, *pull = token.split(":")
                 if dl := self.downloads.get(name):
                     yield dl, (Doubt(dl.pulls[int(pull[0])], event.silent) if why == "slow" else event)
-            case face.Reached() | face.Known() if event.cache in self.caches:
+            case face.Reached() | face.Known() | face.Evidence() if event.cache in self.caches:
                 yield self.caches[event.cache], event
                 if isinstance(event, face.Known):
                     yield self.placement, event
@@ -682,6 +700,10 @@
                     cache.phase = Phase.GONE
         yield self.placement, event
 
+    def record(self, now: float) -> dict[int, tuple[float, float]]:
+        """Good and bad ends of the pulls at each cache in MEMORY: what a front can tell its peers."""
+        return {c.id: (c.good.total(now), c.bad.total(now)) for c in self.caches.values()}
+
     def learn(self, dl: Download, pull: Pull, late: bool) -> None:
         times, scale = self.pace[dl.type.name, pull.at().role]
         times.add(self.now, pull.ended.took)
