--- a/weldbend/bus/reader.py
+++ b/weldbend/bus/reader.py
@@ -100,6 +100,7 @@
         self.agent, self.answered = Agent.usingEndpointFactory(reactor, Endpoints(reactor)), asked
         self.timers, self.address, self.last, self.told = timers, address, last, told
         self.delay, self.stopped, self.away, self.losses = SHORTEST, False, False, 0
+        self.hearings = 0  # times that anything came
         self.reading: Reading | None = None
         self.silence: Timer | None = None  # until the bus is held to be lost
         self.next: Timer | None = None  # until it is asked again
@@ -142,6 +143,7 @@
         if self.away:
             logger.info("bus read again from event {}, lost {} times so far", self.last, self.losses)
         self.delay, self.away = SHORTEST, False
+        self.hearings += 1
         self.watch()
 
     def drop(self, why: str) -> None:
--- a/weldbend/fleet/bridge.py
+++ b/weldbend/fleet/bridge.py
@@ -7,7 +7,9 @@
 and counts of wishes are no rule's: the decisions weigh them with what the front sees itself.
 """
 
+import math
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -25,6 +27,7 @@
 from weldbend.fleet.terms import Terms
 from weldbend.interface import Effect, Scope
 
+HOLD = 0.3  # seconds for which decisions wait for the bus, or else for peers, after a standstill
 TICK = 1.0  # seconds between two looks at what to say of caches and wishes, and at what others say
 
 
@@ -33,7 +36,12 @@
 
     def __init__(self, loop: Any, name: str, terms: Terms, reactor: Any, timers: Any, offset: int) -> None:
         self.loop, self.offset, self.timers = loop, offset, timers
-        self.fleet, self.reactor = Fleet(reactor, timers, name, terms, self.changed), reactor
+        clock = loop.clock
+        epoch = int(clock.unix() * 1000)
+        self.fleet = Fleet(reactor, timers, name, terms, self.changed, epoch, clock.drawn)
+        self.reactor = reactor
+        self.hearings: Callable[[], int] = lambda: 0  # how often this front's bus was heard
+        self.held = (-math.inf, 0)  # since when, at most, decisions wait after a standstill; hearings by then
         self.control = Control(self.fleet)
         self.counts: Counter[str] = Counter()
         self.purges, self.teller, self.slots, self.wishes = Purges(), Teller(), Slots(), Wishes()
@@ -89,6 +97,18 @@
             self.slots.asked(name)
         return self.wishes.of(name)
 
+    def holds(self, now: float) -> bool:
+        """Whether decisions wait a moment: this process stood still, and what it knows is old.
+
+        Guards against sending to what was drained or purged meanwhile, before that is read. Should also cover
+        a machine frozen for minutes. Harm: the first downloads after it are late by `HOLD` at most.
+        """
+        self.fleet.wake(now)
+        if self.fleet.woke != self.held[0]:
+            self.held = self.fleet.woke, self.hearings()
+        fresh = self.fleet.exchange.whole or self.hearings() > self.held[1]
+        return now < self.held[0] + HOLD and not fresh
+
     def ran(self, type: str, once: str, repeat: bool) -> tuple[face.Ran, ...]:
         """Earlier pulls of a deduped download, at any front, that may have run."""
         kind, now = self.loop.site.facts.types[type], self.timers.now()
--- a/weldbend/fleet/links.py
+++ b/weldbend/fleet/links.py
@@ -51,7 +51,7 @@
     def __init__(self, links: "Links", peer: str = "") -> None:
         self.links, self.peer, self.dialled = links, peer, bool(peer)
         self.ring, self.outbox = Ring(2 * LONGEST + (1 << 17)), Outbox(links.terms.outbox)
-        self.drawn, self.session = os.urandom(16), b""
+        self.drawn, self.session = links.drawn(16), b""
         self.paused = self.lost = False
         self.heard = links.timers.now()
         self.length = -1  # of the frame that is coming
@@ -200,8 +200,17 @@
 class Links:
     """All links of this front; `wanted` is told which peers it is to be linked to."""
 
-    def __init__(self, reactor: Any, timers: Timers, sealer: Sealer, terms: Terms, owner: Owner) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        timers: Timers,
+        sealer: Sealer,
+        terms: Terms,
+        owner: Owner,
+        drawn: Callable[[int], bytes] = os.urandom,
+    ) -> None:
         self.reactor, self.timers, self.sealer, self.terms, self.owner = reactor, timers, sealer, terms, owner
+        self.drawn = drawn
         self.named: dict[str, Peer] = {}
         self.near: set[str] = set()
         self.ends: dict[LinkEnd, None] = {}
--- a/weldbend/fleet/service.py
+++ b/weldbend/fleet/service.py
@@ -4,8 +4,8 @@
 stricter, and takes from it what the bus told; it is asked nothing and holds up nothing.
 """
 
+import math
 import os
-import time
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
@@ -53,7 +53,11 @@
 
 
 class Fleet:
-    """`changed` is told of every item that has become stricter."""
+    """`changed` is told of every item that has become stricter.
+
+    `epoch` is the Unix millisecond of this start; a clock that went back is told so by those who know a later
+    one. `drawn` gives bytes at random.
+    """
 
     def __init__(
         self,
@@ -62,23 +66,23 @@
         name: str,
         terms: Terms,
         changed: Callable[[Change], None],
-        epoch: int | None = None,
+        epoch: int,
+        drawn: Callable[[int], bytes] = os.urandom,
     ) -> None:
         self.reactor, self.timers, self.name, self.terms, self.changed = reactor, timers, name, terms, changed
-        # a start's epoch: its moment in ms; a clock that went back is told so by those who know a later one
-        epoch = int(time.time() * 1000) if epoch is None else epoch
-        seed = int.from_bytes(os.urandom(4), "big")
+        seed = int.from_bytes(drawn(4), "big")
         self.sealer = Sealer(terms.fleet, name, epoch, keys_of(terms.keys))
         now = timers.now()
         peers = [peer.name for peer in terms.peers]
         self.members = Membership(name, epoch, terms, peers, seed, now)
         self.copies = Copies(name, epoch, terms.ops)
         self.exchange = Exchange(name, self.copies, terms, seed + 1, changed, now)
-        self.links = Links(reactor, timers, self.sealer, terms, self)
+        self.links = Links(reactor, timers, self.sealer, terms, self, drawn)
         self.ear = Ear(self.datagram)
         self.udp: Any = None
         self.counts: Counter[str] = Counter()
         self.second, self.heard_in_it = 0, 0
+        self.woke = -math.inf  # when this process last went on after a standstill
         self.lost: dict[str, float] = {}  # when each peer's link was lost last
         self.sight = Sight.WAKING
         self.stopped = False
@@ -142,6 +146,7 @@
         if self.members.stands_still(now):
             gap = now - self.members.last
             logger.warning("fleet: this front stood still for {:.1f} s; catching up", gap)
+            self.woke = now
             self.send(awake(self.members, self.exchange, now))
 
     def settle(self, now: float) -> None:
--- a/weldbend/front/clock.py
+++ b/weldbend/front/clock.py
@@ -1,5 +1,6 @@
-"""The front's time: seconds that never go back, and the Unix clock beside it."""
+"""The front's time: seconds that never go back, and the Unix clock beside it; and what it draws at random."""
 
+import os
 import time
 
 
@@ -14,6 +15,11 @@
     def unix() -> float:
         return time.time()
 
+    @staticmethod
+    def drawn(size: int) -> bytes:
+        """Bytes at random that nobody can foresee."""
+        return os.urandom(size)
+
     def age(self, stamp: float) -> float:
         """How long ago a Unix stamp was, never less than nothing."""
         return max(self.unix() - stamp, 0.0)
--- a/weldbend/front/life.py
+++ b/weldbend/front/life.py
@@ -64,6 +64,8 @@
         self.listener = Listener(self, site.clients, site.terms)
         self.shared = shared(self) if site.fleet else None
         self.bus = BusReader(reactor, self.timers, site.bus, site.offset, self.tell, self.caught_up)
+        if self.shared:
+            self.shared.hearings = lambda: self.bus.hearings
         self.ready = self.opened_port = False
         self.told: float | None = None  # when SIGTERM came
         self.waiting = self.most_waiting = self.most_clients = self.most_caches = 0
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -52,6 +52,7 @@
     def asked(self, type: str, key: str, part: int, repeat: bool) -> int: ...
     def ran(self, type: str, once: str, repeat: bool) -> tuple[face.Ran, ...]: ...
     def sent(self, type: str, once: str, cache: int) -> None: ...
+    def holds(self, now: float) -> bool: ...
 
 
 PAUSE, LATE = 0.001, 0.005  # seconds between turns that are a pause, and of a turn that is told to be late
@@ -203,7 +204,13 @@
             self.turning, now = True, self.clock.now()
             if now > self.rested + PAUSE:  # there was time to spare since the last turn
                 self.since = now
-            self.reactor.callLater(0, self.turn)
+            self.reactor.callLater(0, self.due)
+
+    def due(self) -> None:
+        if self.peers and self.peers.holds(self.clock.now()):
+            self.reactor.callLater(PAUSE, self.due)
+        else:
+            self.turn()
 
     def turn(self) -> None:
         """Hand over all that has come, and carry out what is answered."""
--- a/weldbend/lab/virtual/machines.py
+++ b/weldbend/lab/virtual/machines.py
@@ -9,7 +9,7 @@
 import itertools
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.address import IPv4Address
@@ -56,6 +56,10 @@
         self.chance = random.Random(seed)
         self.ports: dict[tuple[str, int], Port] = {}
         self.lost: set[str] = set()  # addresses that say nothing any more
+        self.cut: set[tuple[str, str]] = set()  # (from, to): nothing passes until it is mended
+        self.slow: dict[tuple[str, str], float] = {}  # seconds on top
+        self.lossy: dict[tuple[str, str], float] = {}  # of datagrams: the share that is lost
+        self.ears: dict[tuple[str, int], tuple[Machine, Any]] = {}  # who hears datagrams where
         self.events = 0
         self.watch: Callable[[Transport, Transport], None] = lambda near, far: None  # told of each connection
         self.faults: list[str] = []  # exceptions out of protocols: a real reactor would log them
@@ -81,6 +85,16 @@
     def latency(self) -> float:
         return 0.0002 + 0.0008 * self.chance.random()
 
+    def passes(self, one: str, other: str) -> bool:
+        return (one, other) not in self.cut
+
+    def mend(self, ways: set[tuple[str, str]], machines: Iterable["Machine"]) -> None:
+        """Ways are open again: what was held up on them comes now, as retransmitted."""
+        self.cut -= ways
+        for machine in machines:
+            for transport in list(machine.transports):
+                transport.unstick()
+
 
 class FakeSocket:
     def setsockopt(self, *_: Any) -> None:
@@ -112,8 +126,8 @@
 
 
 class Connector:
-    def __init__(self) -> None:
-        self.given_up = False
+    def __init__(self, host: str, port: int) -> None:
+        self.given_up, self.there = False, IPv4Address("TCP", host, port)
         self.transport: Transport | None = None
 
     def disconnect(self) -> None:
@@ -124,6 +138,9 @@
 
     stopConnecting = disconnect
 
+    def getDestination(self) -> IPv4Address:
+        return self.there
+
 
 class Machine:
     """One reactor. `host` is its address; protocols see it as Twisted's."""
@@ -133,7 +150,8 @@
     def __init__(self, world: World, name: str, host: str) -> None:
         self.world, self.name, self.host = world, name, host
         self.alive, self.transports = True, dict[Transport, None]()
-        self.stopped = False
+        self.stopped = self.frozen = False
+        self.backlog: list[Callable[[], object]] = []  # what came due while it was frozen
 
     # IReactorTime, IReactorTCP and what else a front asks of its reactor.
 
@@ -148,12 +166,30 @@
 
     def guard(self, call: Callable[..., object], *args: Any, **held: Any) -> None:
         """A fault in one call ends that call only, and is kept for the verdict."""
-        if self.alive:
+        if self.frozen:
+            self.backlog.append(lambda: self.guard(call, *args, **held))
+        elif self.alive:
             try:
                 call(*args, **held)
             except Exception as wrong:
                 self.world.faults.append(f"{self.world.now:.4f} {self.name}: {type(wrong).__name__} {wrong}")
 
+    def freeze(self) -> None:
+        """Nothing of this process runs any more (SIGSTOP); its sockets go on taking what comes."""
+        self.frozen = True
+
+    def thaw(self) -> None:
+        """What was due comes now, in its order, and then what its sockets hold."""
+        self.frozen = False
+        backlog, self.backlog = self.backlog, []
+        for call in backlog:
+            call()
+        for transport in list(self.transports):
+            transport.drain()
+
+    def listenUDP(self, port: int, protocol: Any, interface: str = "", maxPacketSize: int = 8192) -> "Ear":
+        return Ear(self, interface or self.host, port, protocol)
+
     def addReader(self, reader: Any) -> None:
         pass
 
@@ -173,14 +209,15 @@
     def connectTCP(
         self, host: str, port: int, factory: Any, timeout: float = 30, bindAddress: Any = None
     ) -> Connector:
-        connector = Connector()
+        connector = Connector(host, port)
 
         def failed(kind: type[Exception]) -> None:
             if not connector.given_up:
                 factory.clientConnectionFailed(connector, Failure(kind()))
 
         def arrive() -> None:
-            if host in self.world.lost or self.host in self.world.lost:
+            world, ways = self.world, ((self.host, host), (host, self.host))
+            if host in world.lost or self.host in world.lost or not all(world.passes(*w) for w in ways):
                 self.callLater(timeout, failed, TimeoutError)
                 return
             held = self.world.ports.get((host, port))
@@ -197,14 +234,20 @@
             near, far = Transport(self, host), Transport(held.machine, self.host)
             near.peer, far.peer = far, near
             self.world.watch(near, far)
-            server = held.factory.buildProtocol(IPv4Address("TCP", self.host, 0))
-            if server is None:
+            connector.transport = near
+            if held.machine.frozen:  # its system accepts; the process hears of it later
+                held.machine.backlog.append(lambda: serve(held, far) or far.abortConnection())
+            elif not serve(held, far):
                 self.callLater(self.world.latency(), failed, ConnectionRefusedError)
                 return
-            far.start(server)
-            connector.transport = near
             self.callLater(self.world.latency(), up, near)
 
+        def serve(held: Port, far: Transport) -> bool:
+            server = held.factory.buildProtocol(IPv4Address("TCP", self.host, 0))
+            if server is not None:
+                far.start(server)
+            return server is not None
+
         def up(near: "Transport") -> None:
             client = None if connector.given_up else factory.buildProtocol(None)
             if client is None:
@@ -212,6 +255,7 @@
             else:
                 near.start(client)
 
+        factory.startedConnecting(connector)
         self.world.plan(self.world.latency(), arrive)
         return connector
 
@@ -220,10 +264,49 @@
         self.alive = False
         for address in [a for a, port in self.world.ports.items() if port.machine is self]:
             del self.world.ports[address]
+        for address in [a for a, (machine, _) in self.world.ears.items() if machine is self]:
+            del self.world.ears[address]
         for transport in list(self.transports):
             transport.die()
 
 
+class Ear:
+    """A port for datagrams, and the transport of who hears there."""
+
+    HELD = 64  # that a frozen process's socket holds
+
+    def __init__(self, machine: Machine, host: str, port: int, protocol: Any) -> None:
+        self.machine, self.world, self.address, self.protocol = machine, machine.world, (host, port), protocol
+        if self.address in self.world.ears:
+            raise UserError(f"{self.address} is taken")
+        self.world.ears[self.address] = machine, self
+        self.waiting = 0
+        protocol.transport = self
+
+    def write(self, data: bytes, to: tuple[str, int]) -> None:
+        """One datagram: lost, doubled, late or out of order as the way has it."""
+        world, way = self.world, (self.machine.host, to[0])
+        if not world.passes(*way) or world.chance.random() < world.lossy.get(way, 0.0):
+            return
+        for _ in range(2 if world.chance.random() < 0.01 else 1):
+            delay = world.latency() + world.slow.get(way, 0.0) * (0.5 + world.chance.random())
+            world.plan(delay, lambda: self.arrive(data, to))
+
+    def arrive(self, data: bytes, to: tuple[str, int]) -> None:
+        machine, ear = self.world.ears.get(to, (None, None))
+        if machine is None or ear is None or (machine.frozen and ear.waiting >= self.HELD):
+            return
+        ear.waiting += machine.frozen
+        machine.guard(ear.hear, data, (self.machine.host, self.address[1]))
+
+    def hear(self, data: bytes, sender: tuple[str, int]) -> None:
+        self.waiting = 0
+        self.protocol.datagramReceived(data, sender)
+
+    def stopListening(self) -> None:
+        self.world.ears.pop(self.address, None)
+
+
 class Transport:
     """One end of a connection in memory."""
 
@@ -239,6 +322,7 @@
         self.waiting: list[bytes] = []
         self.tap: Callable[[bytes], None] | None = None  # sees what goes on its way from this end
         self.stream: Stream | None = None  # what an injector does to it before
+        self.stuck: list[bytes | None] = []  # held up on a way that is cut
         machine.transports[self] = None
 
     connected = property(lambda self: not self.ended)
@@ -297,7 +381,8 @@
     def send(self, piece: bytes | None) -> None:
         peer = self.peer
         assert peer
-        peer.arrives = max(peer.arrives, self.world.now + self.world.latency())
+        slow = self.world.slow.get((self.machine.host, self.peer_host), 0.0)
+        peer.arrives = max(peer.arrives, self.world.now + self.world.latency() + slow)
         self.world.plan(peer.arrives - self.world.now, lambda: peer.arrive(piece))
 
     def writeSequence(self, pieces: list[bytes]) -> None:
@@ -352,7 +437,7 @@
             self.machine.callLater(0, self.lose, ConnectionLost)
 
     def reset_peer(self) -> None:
-        if self.peer and not self.peer.ended:
+        if self.peer and not self.peer.ended and self.world.passes(self.machine.host, self.peer_host):
             peer = self.peer
             self.world.plan(self.world.latency(), lambda: peer.machine.guard(peer.lose, ConnectionLost))
 
@@ -371,10 +456,21 @@
             return
         if self.machine.host in self.world.lost or self.peer_host in self.world.lost:
             return
+        if self.stuck or not self.world.passes(self.peer_host, self.machine.host):
+            self.stuck.append(piece)
+            return
         self.coming.append(piece)
         self.drain()
 
+    def unstick(self) -> None:
+        if self.stuck and self.world.passes(self.peer_host, self.machine.host):
+            stuck, self.stuck = self.stuck, []
+            for piece in stuck:
+                self.arrive(piece)
+
     def drain(self) -> None:
+        if self.machine.frozen:
+            return
         while self.coming and not (self.paused or self.ended) and self.protocol is not None:
             piece = self.coming.popleft()
             if piece is None:
