--- a/weldbend/fleet/cli.py
+++ b/weldbend/fleet/cli.py
@@ -7,6 +7,7 @@
 import click
 
 from weldbend.fleet.terms import split
+from weldbend.fleet.views import differences
 
 STATES = {"ALIVE": "alive", "SUSPECT": "suspected", "DEAD": "dead", "LEFT": "left"}
 
@@ -123,19 +124,7 @@
     for control in controls:
         one = asked(control, ask="status")
         held[one["name"]] = one
-    wrong = []
-    for name, one in sorted(held.items()):
-        if one["contested"]:
-            wrong.append(f"{name}: another process runs under its name")
-        if not one["caught_up"]:
-            wrong.append(f"{name}: not caught up")
-        wrong += [
-            f"{name} holds {other['name']} for {STATES[other['state']]}"
-            for other in one["members"]
-            if other["name"] in held and other["state"] != "ALIVE"
-        ]
-    if len({one["digest"] for one in held.values()}) > 1:
-        wrong.append("copies differ: " + ", ".join(f"{n} {o['digest']}" for n, o in sorted(held.items())))
+    wrong = differences(held)
     for line in wrong:
         click.echo(line)
     if wrong:
--- a/weldbend/lab/cli.py
+++ b/weldbend/lab/cli.py
@@ -287,6 +287,52 @@
     reactor.run()
 
 
+@lab.command("fleet")
+@click.option("--plan", "plan_path", help="what happens, see docs/fleet.md")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--virtual", is_flag=True, help="on the virtual clock instead of real processes")
+@click.option("--lines", is_flag=True, help="do what standard input tells, one JSON object a line")
+@click.option("--fronts", type=click.IntRange(1, 64), default=3, show_default=True, help="with --lines")
+@click.option("--zones", default="", help="with --lines: of the fronts in turn, parted by commas")
+@click.option("--folder", help="with --lines: for configurations and logs")
+def fleet_command(
+    plan_path: str | None,
+    seed: int,
+    virtual: bool,
+    lines: bool,
+    fronts: int,
+    zones: str,
+    folder: str | None,
+) -> None:
+    """Fronts that know of each other, as real processes, and faults between them; a verdict at the end."""
+    from weldbend.lab.fault.plan import BadPlan
+    from weldbend.lab.fleet import command
+    from weldbend.lab.fleet.plan import names, read_plan
+
+    if lines:
+        reactor.callWhenRunning(command.lines, reactor, fronts, seed, names(zones), folder)
+        reactor.run()
+        return
+    if not plan_path:
+        raise click.ClickException("give --plan FILE, or --lines")
+    try:
+        plan = read_plan(plan_path)
+    except BadPlan as wrong:
+        raise click.ClickException(str(wrong)) from None
+    if virtual:
+        from weldbend.lab.virtual.search import quiet
+
+        quiet()
+        clean = command.virtual(plan, seed)
+    else:
+        real = command.Real(reactor, plan, seed)
+        reactor.callWhenRunning(real.start)
+        reactor.run()
+        clean = real.clean
+    if not clean:
+        raise SystemExit(1)
+
+
 FLEET = click.option("--fleet", is_flag=True, help="fronts that know of each other, and faults between them")
 
 
--- a/weldbend/lab/fleet/fronts.py
+++ b/weldbend/lab/fleet/fronts.py
@@ -6,8 +6,10 @@
 set apart, buses cut off for one front or all but one.
 """
 
+import json
 import os
 import tempfile
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from typing import Any
@@ -68,6 +70,7 @@
             for n in self.askers
         }
         self.struck: list[str] = []
+        self.said: Callable[[dict[str, Any]], None] = lambda held: None
 
     def host(self, number: int) -> str:
         return f"10.0.0.{number}"
@@ -90,6 +93,55 @@
             machine, replace(site, fleet=self.terms(number)) if self.setup.shared else site, clock=clock
         )
 
+    # What a plan asks for (see play.Stage).
+
+    def later(self, delay: float, call: Callable[[], object]) -> object:
+        return self.world.plan(delay, call)
+
+    def event(self, **said: Any) -> None:
+        self.note(json.dumps(said))
+        self.said(said)
+
+    def hosts(self, ways: set[tuple[int, int]]) -> set[tuple[str, str]]:
+        return {(self.host(a), self.host(b)) for a, b in ways}
+
+    def cut(self, ways: set[tuple[int, int]]) -> None:
+        self.world.cut |= self.hosts(ways)
+
+    def mend(self, ways: set[tuple[int, int]]) -> None:
+        self.world.mend(self.hosts(ways), [machine for machine, _ in self.fronts.values()])
+
+    def worsen(self, ways: set[tuple[int, int]], kind: str, much: float) -> None:
+        held = {"slow": self.world.slow, "lossy": self.world.lossy, "double": self.world.doubled}[kind]
+        held.update(dict.fromkeys(self.hosts(ways), much))
+
+    def stop(self, number: int, lasts: float) -> None:
+        self.freeze(number, lasts)
+
+    def end(self, number: int) -> None:
+        machine, front = self.fronts[number]
+        if machine.alive:
+            front.terminate()
+            self.world.plan(4.0, lambda: self.start(number))
+
+    def start(self, number: int, ahead: float = 0.0) -> None:
+        machine, _ = self.fronts[number]
+        if machine.alive and not machine.stopped:
+            return
+        self.clocks[number] = ahead, self.clocks[number][1]
+        self.start_front(number)
+
+    def no_bus(self, number: int, lasts: float) -> None:
+        self.cut_bus({number}, lasts)
+
+    def tell_cache(self, uid: str, state: str) -> None:
+        if state == "up":
+            self.targets[uid] |= {"boot_ms": int(self.world.unix() * 1000)}
+        self.relist(uid, state)
+
+    def tell_purge(self, group: int) -> None:
+        self.tell(ban={"tag": group, "ts": int(self.world.unix() * 1000)})
+
     # What goes wrong between fronts.
 
     def troubles(self) -> None:
@@ -159,13 +211,14 @@
 
         self.world.plan(lasts, thaw)
 
-    def kill(self, number: int, back: float) -> None:
+    def kill(self, number: int, back: float | None = None) -> None:
         machine, _ = self.fronts[number]
         if machine.alive:
             self.note(f"front {number} is killed")
             self.auditor.killed(machine.name)
             machine.kill()
-            self.world.plan(back, lambda: self.start_front(number))
+            if back is not None:
+                self.world.plan(back, lambda: self.start_front(number))
 
     def do_front(self) -> None:
         self.kill(self.rng.choice(sorted(self.fronts)), 0.4)
--- a/weldbend/lab/load.py
+++ b/weldbend/lab/load.py
@@ -147,6 +147,12 @@
     def buildProtocol(self, addr: IAddress | None) -> LoadClient:
         return LoadClient(self)
 
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """A front that is down: the next one in a moment."""
+        if not self.over:
+            self.turns += 1
+            self.reactor.callLater(0.2, self.dial, self.fronts[self.turns % len(self.fronts)])
+
     def came(self, client: LoadClient) -> None:
         self.clients.append(client)
         if len(self.clients) == self.plan.connections and not self.begun:
--- a/weldbend/lab/virtual/machines.py
+++ b/weldbend/lab/virtual/machines.py
@@ -59,6 +59,7 @@
         self.cut: set[tuple[str, str]] = set()  # (from, to): nothing passes until it is mended
         self.slow: dict[tuple[str, str], float] = {}  # seconds on top
         self.lossy: dict[tuple[str, str], float] = {}  # of datagrams: the share that is lost
+        self.doubled: dict[tuple[str, str], float] = {}  # and the share that comes twice
         self.ears: dict[tuple[str, int], tuple[Machine, Any]] = {}  # who hears datagrams where
         self.events = 0
         self.watch: Callable[[Transport, Transport], None] = lambda near, far: None  # told of each connection
@@ -288,7 +289,7 @@
         world, way = self.world, (self.machine.host, to[0])
         if not world.passes(*way) or world.chance.random() < world.lossy.get(way, 0.0):
             return
-        for _ in range(2 if world.chance.random() < 0.01 else 1):
+        for _ in range(1 + (world.chance.random() < world.doubled.get(way, 0.01))):
             delay = world.latency() + world.slow.get(way, 0.0) * (0.5 + world.chance.random())
             world.plan(delay, lambda: self.arrive(data, to))
 
