--- a/weldbend/fleet/terms.py
+++ b/weldbend/fleet/terms.py
@@ -44,7 +44,7 @@
     outbox: int = 1_000_000  # bytes that wait for one peer at most
     ops: int = 4096  # of each writer, kept for deltas
     exchange: float = 2.0  # between two comparisons of copies with one peer
-    popularity: bool = True  # whether fronts of a zone count their clients' wishes together
+    popularity: bool = False  # whether fronts of a zone count their clients' wishes together
 
     def suspicion(self, members: int, voices: int) -> float:
         """Seconds of a suspicion that so many others have confirmed.
--- a/weldbend/lab/cli.py
+++ b/weldbend/lab/cli.py
@@ -333,6 +333,21 @@
         raise SystemExit(1)
 
 
+@lab.command("fleet-measure")
+@click.argument("what")
+def fleet_measure(what: str) -> None:
+    """Figures of docs/fleet.md, a JSON line each: gain, popularity, detect, real, cost or newcomer."""
+    from weldbend.lab.fleet.measure import measures
+    from weldbend.lab.virtual.search import quiet
+
+    quiet()
+    held = measures()
+    if what not in held:
+        raise click.ClickException(f"{what!r:.20} is none of {', '.join(held)}")
+    for row in held[what]():
+        click.echo(json.dumps(row))
+
+
 FLEET = click.option("--fleet", is_flag=True, help="fronts that know of each other, and faults between them")
 
 
