Close nobody as idle right after a standstill: their calls may lie unread

Change: a look that comes more than a second after the last one closes nothing; the next one, 0.1 s later, does, after what lay in the sockets was read.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -923,3 +923,15 @@
     reader.reading.transport = None
     reader.reading.answered(Response())
     assert heard.count("answered") == 1, "one that refuses has told nothing"
+
+
+def test_a_client_whose_call_lay_unread_while_the_front_stood_still_is_not_closed_as_idle():
+    stage = Stage()
+    client = stage.client()
+    stage.turn(0.2)
+    stage.reactor.advance(6.0)  # one jump: the process was stopped, timers come first
+    stage.say(client, probe(1))
+    stage.shows("client 0 < 1 probe: good True")
+    for _ in range(60):
+        stage.turn(0.1)
+    assert client.transport.disconnecting or client not in stage.door.listener.clients
--- a/weldbend/clients/listener.py
+++ b/weldbend/clients/listener.py
@@ -24,6 +24,7 @@
 BACKLOG = 1024
 GONE = 60  # seconds without a sign of a client's machine, or of its reading, until it is held to be gone
 LOOK = 0.125  # seconds between two looks at a live connection
+STOOD = 1.0  # seconds since the last look, from which on this process stood still meanwhile
 GONE_FOR = {
     Verdict.MUTE: "clients that say nothing",
     Verdict.HALF: "clients that stop in the middle of a call",
@@ -43,6 +44,7 @@
         self.lot: Lot | None = None
         self.port: Any = None
         self.resting = False
+        self.looked = 0.0  # when all was looked at last
 
     def count(self) -> int:
         return len(self.clients) + self.parked()
@@ -94,8 +96,15 @@
         self.rest()
 
     def look(self) -> bool:
-        """Look at what is due, and close or park what has to go; whether some are left for another turn."""
+        """Look at what is due, and close or park what has to go; whether some are left for another turn.
+
+        Guards against closing for idleness, after a standstill, those whose calls lie unread: timers come
+        before sockets are read. Harm: one look less after it.
+        """
         now, left = self.taker.now(), self.terms.closes
+        before, self.looked = self.looked, now
+        if now > before + STOOD:
+            return False
         while self.looks and self.looks[0][0] <= now and left:
             client = self.looks.popleft()[1]
             if client in self.clients:
