--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,399 @@
+"""Shares of limits: never more than the limit, whatever links, clocks and processes do; and little of it
+idle.
+"""
+
+from dataclasses import replace
+from fractions import Fraction
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from weldbend.fleet import demand
+from weldbend.fleet.demand import Borrow, Demand, GiveBack, Turn, Use, rank
+from weldbend.fleet.needs import FLOOR, Need, part
+from weldbend.fleet.shares import PARTS, Borrower, Granted, Ledger, Loan, Times, owned
+from weldbend.lab.fleet.model import Model, Scope
+from weldbend.lab.fleet.rates import LIMIT, Rates, Shape, drawn, search
+from weldbend.measures import Chance
+
+TIMES = Times(term=2.0, window=1.0, drift=0.01)
+
+
+def book(own=100, **held):
+    return Ledger(own, TIMES, 1, **held)
+
+
+# One book.
+
+
+@settings(max_examples=60, derandomize=True)
+@given(
+    st.sets(st.text("abcdef", min_size=1, max_size=4), min_size=1, max_size=30),
+    st.text(max_size=8),
+    st.floats(0.1, 100.0),
+)
+def test_parts_are_owned_once_and_as_evenly_as_they_are_worth_anything(names, limit, pulls):
+    shares = owned(limit, names, pulls)
+    held = [parts for parts in shares.values() if parts]
+    assert sum(held) == PARTS and max(held) - min(held) <= 1
+    assert len(held) == min(len(names), max(int(pulls), 1))
+    assert shares == owned(limit, sorted(names, reverse=True), pulls)
+
+
+def test_what_is_lent_is_out_until_the_term_and_a_window_are_surely_over():
+    lender, borrower = book(), book(0)
+    number = borrower.ask(10.0, "a", 30)
+    told = lender.lend(10.4, Borrower("b", 1, number), 30, used=0)
+    assert told.parts == 30 and lender.kept(10.4) == 70
+    assert borrower.grant(10.9, "a", told) and borrower.held(10.9) == 30
+    assert borrower.held(11.95) == 30 and borrower.held(11.97) == 0, "it counts from its asking, and shorter"
+    assert lender.kept(13.4) == 70 and lender.kept(13.43) == 100
+
+
+def test_nothing_is_lent_that_the_own_last_window_needs():
+    lender = book()
+    assert lender.lend(0.0, Borrower("b", 1, 1), 100, used=60.5).parts == 39
+    assert lender.lend(0.0, Borrower("c", 1, 1), 100, used=60.5).parts == 0
+
+
+def test_the_same_asking_is_lent_once_however_often_it_comes():
+    lender = book()
+    first = lender.lend(0.0, Borrower("b", 1, 1), 30, 0)
+    assert lender.lend(0.5, Borrower("b", 1, 1), 30, 0) == replace(first, spare=0)
+    assert lender.kept(0.5) == 70
+    lender.lend(1.0, Borrower("b", 1, 2), 40, 0)
+    assert lender.kept(1.0) == 60, "a later asking takes the place of the one before"
+    assert lender.lend(1.1, Borrower("b", 1, 1), 30, 0).parts == 0, "and one that comes late is refused"
+
+
+def test_what_a_borrower_gets_less_stays_out_as_long_as_it_was():
+    lender = book()
+    lender.lend(0.0, Borrower("b", 1, 1), 40, 0)
+    lender.lend(1.0, Borrower("b", 1, 2), 10, 0)
+    assert lender.kept(3.01) == 60 and lender.kept(3.03) == 90 and lender.kept(4.03) == 100
+    lender.lend(4.1, Borrower("b", 1, 3), 20, 0)
+    lender.lend(4.2, Borrower("b", 1, 4), 20, 0)
+    assert lender.kept(4.2) == 80, "what it has already is no more than that"
+
+
+@pytest.mark.parametrize("late", [1.97, 30.0])
+def test_an_answer_after_the_end_is_no_loan(late):
+    borrower = book(0)
+    number = borrower.ask(0.0, "a", 30)
+    assert not borrower.grant(late, "a", Granted(1, number, 30)) and borrower.held(late) == 0
+
+
+def test_answers_to_nothing_asked_are_no_loans():
+    borrower = book(0)
+    number = borrower.ask(0.0, "a", 30)
+    for lender, told in (
+        ("b", Granted(1, number, 30)), ("a", Granted(9, number, 30)), ("a", Granted(1, number + 1, 30)),
+        ("a", Granted(1, number, 31)),
+    ):  # fmt: skip
+        assert not borrower.grant(0.1, lender, told)
+    assert borrower.held(0.1) == 0
+
+
+def test_a_start_that_knows_nothing_holds_nothing_of_its_own_for_a_term_and_a_window():
+    held = book(quiet_until=TIMES.quiet)
+    assert held.kept(0.0) == held.kept(TIMES.quiet - 0.01) == 0
+    assert held.lend(1.0, Borrower("b", 1, 1), 10, 0).parts == 0
+    assert held.kept(TIMES.quiet) == 100
+    assert TIMES.quiet >= TIMES.term + TIMES.window
+
+
+def test_a_loan_given_back_counts_for_a_window_yet():
+    lender, borrower = book(), book(0)
+    number = borrower.ask(0.0, "a", 30)
+    borrower.grant(0.1, "a", lender.lend(0.05, Borrower("b", 1, number), 30, 0))
+    assert borrower.give_back(0.2, "a") == number and borrower.held(0.2) == 0
+    lender.given_back(0.3, Borrower("b", 1, number), unspent=False)
+    assert lender.kept(1.31) == 70 and lender.kept(1.33) == 100
+    assert borrower.give_back(0.2, "a") == 0
+    lender.lend(2.0, Borrower("b", 1, 2), 30, 0)
+    lender.given_back(2.1, Borrower("b", 1, 2), unspent=True)
+    assert lender.kept(2.1) == 100, "of which nothing was spent"
+
+
+# All orders of events.
+
+
+def test_no_order_of_messages_deaths_ticks_and_ends_passes_the_limit():
+    found = Model(Scope(asks=1)).explore()
+    assert found.whole and not found.trace, found.trace
+    assert found.states > 30_000
+
+
+class IgnoresUse(Ledger):
+    def lend(self, now, to, parts, used):
+        return super().lend(now, to, parts, 0)
+
+
+class NotQuiet(Ledger):
+    def kept(self, now):
+        self.quiet_until = 0
+        return super().kept(now)
+
+
+class BackAtOnce(Ledger):
+    def given_back(self, now, by, unspent):
+        super().given_back(now, by, True)
+
+
+class NeverEnds(Ledger):
+    def borrowed(self, now):
+        return sum(loan.parts for loan in self.came.values())
+
+    def forget(self, now):
+        came = dict(self.came)
+        super().forget(now)
+        self.came = came
+
+
+class CountsFromTheAnswer(Ledger):
+    def grant(self, now, lender, told):
+        if told.epoch == self.epoch and told.parts:
+            self.came[lender] = Loan(told.parts, now + self.times.short, told.number)
+        return bool(told.parts)
+
+
+class TakesAnswersToAnotherRun(Ledger):
+    def grant(self, now, lender, told):
+        return super().grant(now, lender, replace(told, epoch=self.epoch))
+
+
+class KeepsWhatItLends(Ledger):
+    def kept(self, now):
+        return 0 if now < self.quiet_until else self.own
+
+
+class LendsOn(Ledger):
+    def lend(self, now, to, parts, used):
+        own, self.own = self.own, self.own + self.borrowed(now)
+        try:
+            return super().lend(now, to, parts, used)
+        finally:
+            self.own = own
+
+
+class FreesTheRestAtOnce(Ledger):
+    def lend(self, now, to, parts, used):
+        told = super().lend(now, to, parts, used)
+        self.out = {one: loan for one, loan in self.out.items() if one == to or not loan.over}
+        return told
+
+
+class CountsNoWindow(Ledger):
+    def lend(self, now, to, parts, used):
+        told = super().lend(now, to, parts, used)
+        if told.parts:
+            self.out[to] = Loan(told.parts, now + self.times.term)
+        return told
+
+
+class CountsNoDrift(Ledger):
+    def grant(self, now, lender, told):
+        asked = self.asked.get(lender)
+        came = super().grant(now, lender, told)
+        if came:
+            self.came[lender] = Loan(told.parts, asked.at + self.times.term, told.number)
+        return came
+
+
+NOTHING = {"deaths": 0, "doubles": 0, "skips": 0, "backs": 0}
+EXACT = Times(term=3, window=1, drift=Fraction(0))
+WINDOWS = Times(term=2, window=2, drift=Fraction(0))
+APART = Times(term=6, window=3, drift=Fraction(1, 6))
+REFUTED = {
+    IgnoresUse: Scope(asks=1, **NOTHING),
+    NotQuiet: Scope(asks=1, **NOTHING | {"deaths": 1}),
+    BackAtOnce: Scope(asks=1, **NOTHING | {"backs": 1}),
+    NeverEnds: Scope(asks=1, **NOTHING),
+    CountsFromTheAnswer: Scope(asks=1, **NOTHING),
+    TakesAnswersToAnotherRun: Scope(own=(1, 0), asks=2, **NOTHING | {"deaths": 1}),
+    KeepsWhatItLends: Scope(asks=1, **NOTHING),
+    LendsOn: Scope(asks=2, parts=2, times=EXACT, **NOTHING),
+    FreesTheRestAtOnce: Scope(own=(2, 0), asks=2, **NOTHING),
+    CountsNoWindow: Scope(own=(1, 0), asks=1, times=WINDOWS, **NOTHING),
+    CountsNoDrift: Scope(own=(1, 0), asks=1, times=APART, **NOTHING | {"skips": 3}),
+}
+
+
+@pytest.mark.parametrize("sabotage", REFUTED, ids=lambda made: made.__name__)
+def test_a_sabotaged_book_is_refuted_with_a_trace(sabotage):
+    scope = REFUTED[sabotage]
+    found = Model(scope, sabotage).explore()
+    assert found.trace and found.trace[-1].endswith("spends"), found
+    sound = Model(scope).explore()
+    assert not sound.trace and sound.whole, "and the book as it is holds in the same scope"
+
+
+# What is asked for, kept back and lent.
+
+
+NOW = Turn(1, 0.0)
+
+
+def wants(pulls, unit=10.0, name="a", owners=None):
+    held = Demand("limit", name, TIMES, owners or {"a": 100, "b": 100, "c": 100}, Chance(1))
+    held.looked(0.0, Use(0.0, pulls * unit, unit))
+    return held
+
+
+def test_a_need_of_its_own_is_not_lent_and_what_lies_idle_is():
+    idle, busy = wants(0), wants(9)
+    assert idle.lends("b", 60, 100, 0.0, 1) == 60
+    assert busy.lends("b", 60, 100, 0.0, 1) == 40, "nine pulls, and three less by chance"
+    assert busy.lends("b", 60, 100, 95.0, 1) == 5, "what it has spent is spent"
+
+
+def test_a_hoarder_and_a_liar_get_no_more_than_lies_idle_and_no_longer_than_a_term():
+    owner, ledger = wants(8), Ledger(100, TIMES, 1)
+    got = ledger.lend(0.0, Borrower("liar", 1, 1), owner.lends("liar", PARTS, 100, 0.0, 1), 0.0).parts
+    assert got <= 40 and ledger.kept(0.0) >= 60
+    for look in range(20):  # now it needs all of it itself
+        owner.looked(0.1 + look / 10, Use(0.0, 130.0, 10.0))
+    assert owner.lends("liar", PARTS, 100, 0.0, 1, had=got) == 0, "nothing is prolonged"
+    assert ledger.kept(TIMES.quiet) == 100
+
+
+def test_a_share_too_small_for_a_pull_goes_to_the_one_whose_turn_it_is():
+    mine, other = wants(1, unit=150.0), wants(1, unit=150.0, name="b")
+    for turn in range(20):
+        a_lends, b_lends = mine.lends("b", 50, 100, 0.0, turn), other.lends("a", 50, 100, 0.0, turn)
+        assert sorted((a_lends, b_lends)) == [0, 50], "one of both, never both and never none"
+        assert (a_lends > 0) == (rank("limit", turn, "b") > rank("limit", turn, "a"))
+
+
+def test_it_asks_for_what_it_lacks_prolongs_what_it_needs_and_gives_back_the_rest():
+    held, ledger = wants(20), Ledger(100, TIMES, 1)
+    plans = held.plans(0.1, ledger, ["b", "c"], NOW)
+    assert {type(plan) for plan in plans} == {Borrow} and sum(plan.parts for plan in plans) == 140
+    for plan in plans:
+        number = ledger.ask(0.1, plan.lender, plan.parts)
+        ledger.grant(0.2, plan.lender, Granted(1, number, plan.parts))
+    assert held.plans(0.3, ledger, ["b", "c"], NOW) == []
+    held.looked(1.4, Use(200.0, 200.0, 10.0))
+    assert sorted(plan.lender for plan in held.plans(1.4, ledger, ["b", "c"], NOW)) == ["b", "c"], "prolonged"
+    held.lasts = 1.4
+    held.looked(1.5, Use(0.0, 50.0, 10.0))
+    assert {type(plan) for plan in held.plans(1.5, ledger, ["b", "c"], NOW)} == {GiveBack}
+
+
+def test_less_than_a_pull_gathered_in_vain_is_given_back():
+    held, ledger = wants(1, unit=150.0), Ledger(100, TIMES, 1)
+    number = ledger.ask(0.0, "b", 20)
+    ledger.grant(0.1, "b", Granted(1, number, 20))
+    held.refused = {"b": 99.0, "c": 99.0}
+    assert held.plans(0.2, ledger, ["b", "c"], NOW) == []
+    held.looked(1.2, Use(0.0, 150.0, 150.0))
+    assert held.plans(0.2 + demand.PATIENCE, ledger, ["b", "c"], NOW) == [GiveBack("b")]
+
+
+# Many fronts, their network and clocks.
+
+
+def test_seeds_of_faults_never_pass_the_limit_and_come_near_it():
+    found = search(range(1, 41))
+    assert found["over"] == [] and found["worst of the limit"] > 0.95
+
+
+def used(kind, demand="skewed", **held):
+    return Rates(1, Shape(kind=kind, demand=demand, most=200.0, rate=180.0, **held)).play()
+
+
+def test_a_busy_front_gets_what_others_leave_idle():
+    leases, fixed, oracle = (used(kind).used() for kind in ("leases", "fixed", "oracle"))
+    assert leases > 0.95 * oracle > 2 * fixed
+
+
+SPLIT = ((8.0, "split", 12.0),)
+
+
+@pytest.mark.parametrize("demand", ["even", "skewed", "moving", "wandering"])
+def test_a_split_leaves_nobody_worse_off_than_fixed_shares(demand):
+    leases, fixed = (used(kind, demand, faults=SPLIT) for kind in ("leases", "fixed"))
+    assert leases.used() >= 0.97 * fixed.used() and leases.worst() <= 200
+
+
+def test_counts_by_gossip_are_over_and_a_central_counter_falls_with_its_link():
+    assert used("gossip", "even").worst() > 1.05 * 200
+    central = used("central", "even", faults=((6.0, "split", 20.0),)).used(8.0)
+    assert central < 0.7 * used("leases", "even", faults=((6.0, "split", 20.0),)).used(8.0)
+
+
+def test_clocks_that_drift_more_than_is_stated_are_what_the_bound_says():
+    within = [Rates(seed, Shape(most=60.0, demand="wandering")).play().worst() for seed in range(1, 6)]
+    beyond = [
+        Rates(seed, Shape(most=60.0, demand="wandering", beyond=0.3, seconds=60.0)).play().worst()
+        for seed in range(1, 6)
+    ]
+    assert max(within) <= 60
+    assert 60 < max(beyond) <= 120, "over, by no more than what is lent at most"
+
+
+def test_two_hundred_fronts_and_a_budget_of_one_pull():
+    run = Rates(1, Shape(fronts=200, most=1.0, rate=100.0, demand="even", seconds=8.0)).play()
+    assert run.worst() == 1 and len(run.spent) >= 2, "one front at a time gathers all of it"
+
+
+def test_all_started_at_once_hold_nothing_until_the_oldest_loan_would_have_ended():
+    run = Rates(1, Shape(seconds=8.0, demand="even", faults=()))
+    for number in range(4):
+        run.fronts[number].up = False
+        run.start(number, 2)
+    run.play()
+    assert min(run.spent) >= run.shape.times.quiet * 0.98 and run.worst() <= 60
+
+
+def test_a_lender_that_dies_and_returns_does_not_spend_what_is_still_lent():
+    shape = Shape(seconds=14.0, faults=tuple((at, "kill", 0.3) for at in (4.0, 6.0, 8.0, 10.0)))
+    assert max(Rates(seed, shape).play().worst() for seed in range(1, 9)) <= shape.most
+
+
+def test_a_process_frozen_past_its_lease_looks_at_the_clock_before_it_spends():
+    run = Rates(1, Shape(demand="skewed", seconds=14.0))
+    run.after(6.0, lambda: setattr(run.fronts[0], "frozen_until", 9.5))
+    run.play()
+    assert run.worst() <= 60
+    assert run.fronts[0].limits.counts["loans had"] > 0
+
+
+def test_a_unix_clock_that_steps_changes_no_safety():
+    run = Rates(1, Shape(most=2.0, rate=20.0, demand="even"))
+    for at, step in ((8.0, 10.0), (16.0, -10.0)):
+        run.after(at, lambda step=step: run.steps.update({1: step, 3: -step}))
+    assert run.play().worst() <= 2 and len(run.spent) > 8
+
+
+def test_the_drawn_shapes_cover_demands_and_faults():
+    shapes = [drawn(seed) for seed in range(1, 60)]
+    assert {shape.demand for shape in shapes} == {"even", "skewed", "moving", "wandering"}
+    assert {fault for shape in shapes for _, fault, _ in shape.faults} == {
+        "split", "kill", "freeze", "slow", "one-way",
+    }  # fmt: skip
+    assert LIMIT.startswith("type:")
+
+
+# Soft ones.
+
+
+def test_parts_by_need_add_up_to_one_where_views_are_alike():
+    needs = {"a": 90.0, "b": 8.0, "c": 2.0}
+    parts = [part(one, needs[one], {n: (0.5, needs[n]) for n in needs if n != one}, needs) for one in needs]
+    assert parts == [0.9, 0.08, 0.02]
+    assert part("a", 0.0, {}, ["b"]) == 0.5, "nothing said yet: an equal share"
+    assert part("a", 0.0, {"b": (0.1, 50.0)}, ["b"]) == FLOOR / 2
+    assert part("a", 9.0, {"b": (99.0, 1.0)}, ["b"]) == 0.5, "an old word counts for nothing"
+    assert part("a", 9.0, {"b": (0.1, 9.0)}, []) == 1.0, "alone in its view"
+
+
+def test_a_need_is_a_running_mean():
+    need = Need()
+    need.turn(0.0)
+    for second in range(1, 12):
+        for _ in range(10):
+            need.add()
+        need.turn(float(second))
+    assert need.mean == pytest.approx(10.0, rel=0.01)
--- a/weldbend/cli.py
+++ b/weldbend/cli.py
@@ -29,7 +29,7 @@
     site = read_site(Path(path or "").read_text("utf-8"))
     if installation:
         sections = installed(installation).sections
-        terms, fleet = sections["clients"], sections["fleet"]
+        terms, fleet = sections["clients"], replace(sections["fleet"], limits=sections["limits"])
         site = replace(site, terms=terms, clients=min(terms.most or site.clients, site.clients))
         if fleet.listen:
             from weldbend.fleet.service import BadFleet, keys_of
@@ -38,6 +38,9 @@
                 keys_of(fleet.keys)
             except BadFleet as wrong:
                 raise BadSite(f"installation {installation}: [fleet] {wrong}") from None
+            strange = {name for name, _ in (*fleet.limits.strict, *fleet.limits.soft)} - set(site.facts.types)
+            if strange:
+                raise BadSite(f"installation {installation}: [limits] no content type {sorted(strange)[0]!r}")
             site = replace(site, fleet=fleet)
     return site
 
--- a/weldbend/clients/connection.py
+++ b/weldbend/clients/connection.py
@@ -73,6 +73,8 @@
     def held(self, change: int) -> None: ...
     def now(self) -> float: ...
     def fault(self, at: str) -> None: ...
+    def welcome(self, host: str) -> bool: ...
+    def cast_out(self, host: str) -> None: ...
 
 
 @implementer(IPushProducer, IHalfCloseableProtocol)
@@ -209,12 +211,17 @@
         if not (self.ended or self.lost):
             odd[why] += 1
             self.ended = True
+            self.taker.cast_out(self.host())
             for call in list(self.open.values()):
                 self.taker.leave(call)
                 if not call.answered:
                     call.abandon()
             self.close_if_done()
 
+    def host(self) -> str:
+        """The address that it comes from."""
+        return str(getattr(self.transport.getPeer(), "host", ""))
+
     def seen(self, now: float) -> Seen:
         """What a look at it finds, at the moment `now` (seconds)."""
         busy = bool(self.open or self.behind or self.going or self.lost or self.transport.disconnecting)
--- a/weldbend/clients/listener.py
+++ b/weldbend/clients/listener.py
@@ -75,8 +75,8 @@
         listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, GONE // 4)
         listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, GONE * 1000)
 
-    def buildProtocol(self, addr: IAddress | None) -> Client:
-        return Client(self.taker)
+    def buildProtocol(self, addr: IAddress | None) -> Client | None:
+        return Client(self.taker) if self.taker.welcome(getattr(addr, "host", "")) else None
 
     # Live connections.
 
--- a/weldbend/fleet/bridge.py
+++ b/weldbend/fleet/bridge.py
@@ -23,11 +23,14 @@
 from weldbend.fleet.evidence import Teller, Word
 from weldbend.fleet.popular import Slots, Wishes
 from weldbend.fleet.service import BadFleet, Fleet
+from weldbend.fleet.sharing import Sharing
 from weldbend.fleet.strict import STATES, Purges, held_state
 from weldbend.fleet.terms import Terms
 from weldbend.interface import Effect, Scope
+from weldbend.measures import Chance
 
 HOLD = 0.3  # seconds for which decisions wait for the bus, or else for peers, after a standstill
+SETTLE = 0.02  # and for what comes with the first word of them
 TICK = 1.0  # seconds between two looks at what to say of caches and wishes, and at what others say
 
 
@@ -42,7 +45,7 @@
         self.reactor = reactor
         self.hearings: Callable[[], int] = lambda: 0  # how often this front's bus was heard
         self.held = (-math.inf, 0)  # since when, at most, decisions wait after a standstill; hearings by then
-        self.control = Control(self.fleet)
+        self.fresh = math.inf  # until when, once the bus or a peer was heard: for what came with it
         self.counts: Counter[str] = Counter()
         self.purges, self.teller, self.slots, self.wishes = Purges(), Teller(), Slots(), Wishes()
         self.number = 0  # of what this run says in its own words
@@ -50,6 +53,8 @@
         deduped = [t for t in loop.site.facts.types.values() if t.effect is Effect.DEDUPED]
         self.doubt = keyed.Doubt(max((t.window for t in deduped), default=0.0))
         loop.peers = self
+        self.sharing = Sharing(loop, self.fleet, Chance(int.from_bytes(clock.drawn(4), "big")))
+        self.control = Control(self.fleet, self.sharing.questions())
 
     def start(self, known: list[Numbered]) -> None:
         self.fleet.start()
@@ -67,6 +72,7 @@
         """SIGHUP: members and keys as the installation file has them; one that is wrong changes nothing."""
         try:
             self.fleet.reload(terms)
+            self.sharing.renamed()
         except BadFleet as wrong:
             logger.error("fleet: new installation not taken, the old one stays: {}", wrong)
 
@@ -82,6 +88,8 @@
                     if target.booted:
                         self.fleet.say("start", target.uid, round(target.booted * 1000))
                     self.hold(target.uid)
+                    if target.booted:
+                        self.sharing.restarted(target.uid)
             case Ban(key, group, at):
                 self.fleet.say("purge", f"k:{key}" if key else f"g:{group}", int(at * 1000))
         self.fleet.say("bus", self.fleet.name, self.offset)
@@ -105,9 +113,10 @@
         """
         self.fleet.wake(now)
         if self.fleet.woke != self.held[0]:
-            self.held = self.fleet.woke, self.hearings()
-        fresh = self.fleet.exchange.whole or self.hearings() > self.held[1]
-        return now < self.held[0] + HOLD and not fresh
+            self.held, self.fresh = (self.fleet.woke, self.hearings()), math.inf
+        if self.fleet.exchange.whole or self.hearings() > self.held[1]:
+            self.fresh = min(self.fresh, now + SETTLE)
+        return now < min(self.held[0] + HOLD, self.fresh)
 
     def ran(self, type: str, once: str, repeat: bool) -> tuple[face.Ran, ...]:
         """Earlier pulls of a deduped download, at any front, that may have run."""
@@ -125,6 +134,15 @@
             return (face.Ran(keyed.NOWHERE, -1, now),)
         return ()
 
+    def over(self, type: str, client: str) -> bool:
+        return self.sharing.over(type, client)
+
+    def bars(self, client: str) -> bool:
+        return self.sharing.bars(client)
+
+    def casts(self, client: str) -> None:
+        self.sharing.casts(client)
+
     def sent(self, type: str, once: str, cache: int) -> None:
         """A pull of a deduped download goes out: others are told before its bytes leave."""
         kind, held = self.loop.site.facts.types[type], self.loop.router.caches.get(cache)
@@ -175,6 +193,8 @@
         number = names.numbers[uid]
         self.counts["caches held strictly"] += phase is not None
         self.loop.post(face.Known(number, phase, started))
+        if started is not None:
+            self.sharing.restarted(uid)
         if phase is not None:
             self.loop.pool.withdraw({number}, lambda pull: False)
             logger.bind(cache=uid).info(
@@ -204,19 +224,22 @@
     def tick(self) -> None:
         if self.fleet.stopped:
             return
+        self.timers.after(TICK, self.tick)
         now = self.timers.now()
         self.wishes.forget(now)
         if self.fleet.terms.popularity and (slot := self.slots.turn(now)):
             key = f"{slot[0] % popular.SLOTS}|{self.fleet.name}"
             self.wishes.drop(key)  # of an earlier run of this front
             self.fleet.say("popular", key, self.fleet.copies.epoch, *slot)
-        self.say_evidence(now)
-        self.weigh(now)
-        self.timers.after(TICK, self.tick)
+        words = self.words(now)
+        self.say_evidence(now, words)
+        self.weigh(words)
+        self.sharing.tick(now, self.with_own(now, words))
 
-    def say_evidence(self, now: float) -> None:
+    def say_evidence(self, now: float, words: dict[str, list[Word]]) -> None:
         uids, record = self.loop.names.uids, self.loop.router.record(now)
-        for uid, held in self.teller.words(now, {uids[n]: r for n, r in record.items() if n in uids}):
+        mine = {uids[n]: r for n, r in record.items() if n in uids}
+        for uid, held in self.teller.words(now, mine, words):
             self.number += 1
             self.fleet.say(
                 "evidence", f"{uid}|{self.fleet.name}", self.fleet.copies.epoch, self.number, *held
@@ -241,10 +264,21 @@
             for uid, words in said.items()
         }
 
-    def weigh(self, now: float) -> None:
+    def with_own(self, now: float, words: dict[str, list[Word]]) -> dict[str, list[Word]]:
+        """The same with what this front has to say itself: a verdict goes by the words of all."""
+        uids, record = self.loop.names.uids, self.loop.router.record(now)
+        whole = sum(good for good, _ in record.values()), sum(bad for _, bad in record.values())
+        found = dict(words)
+        for number, held in record.items():
+            uid = uids.get(number)
+            if uid and (uid in words or held[1]):
+                found[uid] = [*words.get(uid, ()), Word(self.fleet.name, True, 0.0, held, whole)]
+        return found
+
+    def weigh(self, words: dict[str, list[Word]]) -> None:
         """Tell the decisions what others' evidence on each cache amounts to, where that has changed."""
         numbers = self.loop.names.numbers
-        found = {numbers[u]: evidence.combined(words) for u, words in self.words(now).items() if u in numbers}
+        found = {numbers[uid]: evidence.combined(said) for uid, said in words.items() if uid in numbers}
         held = {number: record for number, record in found.items() if record[1]}
         for number in {*held, *self.doubted}:
             record = held.get(number, (0.0, 0.0))
--- a/weldbend/fleet/cli.py
+++ b/weldbend/fleet/cli.py
@@ -105,6 +105,72 @@
         )
 
 
+@fleet.command()
+@CONTROL
+@JSON
+def limits(control: str, as_json: bool) -> None:
+    """Who holds what of which limit, until when, and what is lent; amounts in 1200ths of a limit."""
+    held = asked(control, ask="limits")
+    if as_json:
+        click.echo(json.dumps(held))
+        return
+    for one in held:
+        if one["kind"] == "soft":
+            click.echo(f"{one['limit']} (soft): part {one['part']} for a need of {one['need']} a second")
+            continue
+        quiet = f", nothing of its own for {one['quiet']} s yet" if one["quiet"] else ""
+        quiet += ", owns nothing: others name other members" if one["newcomer"] else ""
+        click.echo(
+            f"{one['limit']} (strict): owns {one['own']}, keeps {one['kept']}, has lent {one['lent']}, "
+            f"borrowed {one['borrowed']}, needs {one['need']} pulls of {one['pull']}{quiet}"
+        )
+        for loan in one["loans"]:
+            way = "lent to" if loan["way"] == "out" else "from"
+            click.echo(f"  {loan['parts']} {way} {loan['with']}, ends in {loan['ends in']} s")
+
+
+@fleet.command()
+@CONTROL
+@JSON
+def verdicts(control: str, as_json: bool) -> None:
+    """Caches that the fleet holds for bad, who says so and until when; clients that are cast out."""
+    held = asked(control, ask="verdicts")
+    if as_json:
+        click.echo(json.dumps(held))
+        return
+    for one in held:
+        if "client" in one:
+            click.echo(f"client {one['client']} is cast out, {one['ends in']} s yet")
+            continue
+        where = f" in zone {one['zone']}" if one["zone"] else ""
+        ends = f", {one['ends in']} s yet" if one["ends in"] is not None else ""
+        click.echo(
+            f"{one['cache']}{where}: {one['stand'].lower()} for {one['for']} s{ends}, by "
+            f"{', '.join(one['voices'])}; gets {one['part']:.0%} from here, fell {one['relapses']} times"
+        )
+    if not held:
+        click.echo("no verdicts")
+
+
+@fleet.command()
+@click.argument("client")
+@click.option("--for", "minutes", type=click.FloatRange(0.1, 1440), default=10.0, show_default=True)
+@CONTROL
+def cast(client: str, minutes: float, control: str) -> None:
+    """Cast a client (its address) out of the whole fleet, for so many minutes."""
+    asked(control, ask="cast", client=client, seconds=minutes * 60)
+    click.echo(f"{client} is cast out for {minutes:g} minutes")
+
+
+@fleet.command()
+@click.argument("client")
+@CONTROL
+def pardon(client: str, control: str) -> None:
+    """Take a client back in: what was said of it until now counts no more."""
+    asked(control, ask="pardon", client=client)
+    click.echo(f"{client} is pardoned")
+
+
 @fleet.command("set")
 @click.argument("name")
 @click.argument("version", type=click.IntRange(1))
--- a/weldbend/fleet/control.py
+++ b/weldbend/fleet/control.py
@@ -1,10 +1,11 @@
 """What people ask a running front of its fleet: one JSON object a line over a loopback port, and the answers.
 
-`{"ask": "status"}` and so on; an answer is `{"ok": ...}` or `{"wrong": "one line"}`. Nothing is changed here
-but by `set`, an operators' setting for the whole fleet.
+`{"ask": "status"}` and so on; an answer is `{"ok": ...}` or `{"wrong": "one line"}`. What is changed here is
+an operators' setting for the whole fleet: `set`, and what parts of the fleet add (`more`).
 """
 
 import json
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from twisted.internet.interfaces import IAddress
@@ -44,8 +45,8 @@
 class Control(ServerFactory):
     noisy = False
 
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet, self.open = fleet, 0
+    def __init__(self, fleet: Fleet, more: Mapping[str, Callable[[dict[str, Any]], Any]]) -> None:
+        self.fleet, self.more, self.open = fleet, more, 0
         self.port: Any = None
 
     def listen(self, reactor: Any) -> None:
@@ -60,6 +61,8 @@
         return Asked(self)
 
     def answer(self, asked: dict[str, Any]) -> Any:
+        if asked["ask"] in self.more:
+            return self.more[asked["ask"]](asked)
         match asked["ask"]:
             case "status":
                 return self.fleet.status()
--- a/weldbend/fleet/copies.py
+++ b/weldbend/fleet/copies.py
@@ -51,7 +51,7 @@
 
 
 def figure(value: object) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value <= 1e9
+    return isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value <= 1e12
 
 
 def group(value: object) -> bool:
@@ -71,6 +71,17 @@
 GROUP = re.compile(r"|!|z:[\w.:-]{1,48}|c:[0-9]{1,9}", re.ASCII)
 PURGED = re.compile(r"k:[\w.-]{1,64}|g:[0-9]{1,3}", re.ASCII)
 
+
+def own_word(figures: int, keep: float, strict: bool) -> Rule:
+    """A kind of which each writer's own latest word counts: epoch, number, and so many figures."""
+
+    def fits(key: str, value: Value, writer: str) -> bool:
+        good = len(value) == 2 + figures and all(map(whole, value[:2])) and all(map(figure, value[2:]))
+        return good and by_writer(key, writer)
+
+    return Rule(fits, max, keep, strict)
+
+
 RULES: dict[str, Rule] = {
     # object `k:KEY` or group `g:N` -> Unix ms of the purge. The latest purge is the strictest.
     "purge": Rule(lambda k, v, w: len(v) == 1 and whole(v[0]) and PURGED.fullmatch(k) is not None, max, 60.0),
@@ -81,14 +92,7 @@
     # idempotency key -> (group that it may have run in, Unix ms of the first pull); of two groups: none
     "keyed": Rule(lambda k, v, w: len(v) == 2 and group(v[0]) and whole(v[1]), earliest, 30.0),
     # cache|writer -> (epoch, number, good, bad): how one front's pulls there ended, its own latest word
-    "evidence": Rule(
-        lambda k, v, w: len(v) == 4
-        and all(map(whole, v[:2]))
-        and all(map(figure, v[2:]))
-        and by_writer(k, w),
-        max,
-        20.0,
-    ),
+    "evidence": own_word(2, 20.0, True),
     # slot|writer -> (epoch, number, packed names) of objects that one front was asked for in some seconds
     "popular": Rule(
         lambda k, v, w: len(v) == 3 and all(map(whole, v[:2])) and isinstance(v[2], str) and by_writer(k, w),
@@ -96,6 +100,16 @@
         256.0,
         False,
     ),
+    # role or content type|writer -> (epoch, number, amount): how much one front has to do, a second
+    "need": own_word(1, 20.0, False),
+    # client|writer -> (epoch, number, downloads a second) of one that asks one front for much
+    "heavy": own_word(1, 20.0, False),
+    # client|writer -> (epoch, number, seconds since): one front has cast it out
+    "cast": own_word(1, 900.0, True),
+    # cache|writer -> (epoch, number, seconds since): its connections broke and it could not be reached again
+    "broke": own_word(1, 60.0, True),
+    # |writer -> (epoch, number, checksum): the members that one front's file names
+    "names": own_word(1, 60.0, True),
     # writer's last event read from the bus
     "bus": Rule(lambda k, v, w: len(v) == 1 and whole(v[0]) and by_writer("|" + k, w), max, 600.0, False),
     # operators' settings for the fleet, by name -> (version, value)
@@ -103,7 +117,7 @@
 }
 
 
-BY_WRITER = ("evidence", "popular", "bus")  # whose key names the one who may write it
+BY_WRITER = ("evidence", "popular", "bus", "need", "heavy", "cast", "broke", "names")  # keys name the writer
 
 
 @dataclass(slots=True)
--- a/weldbend/fleet/evidence.py
+++ b/weldbend/fleet/evidence.py
@@ -27,15 +27,21 @@
 
     said: dict[str, tuple[float, Record]] = field(default_factory=dict)  # of each cache: when, and what
 
-    def words(self, now: float, record: Mapping[str, Record]) -> list[tuple[str, Record]]:
-        """What to say now, of caches and of all together (`ALL`); nothing while all ends well."""
+    def words(
+        self, now: float, record: Mapping[str, Record], accused: Iterable[str] = ()
+    ) -> list[tuple[str, Record]]:
+        """What to say now, of caches and of all together (`ALL`); nothing while all ends well.
+
+        Of what others accuse (`accused`) also who fares well there speaks.
+        """
         held = {uid: (round(good, 1), round(bad, 1)) for uid, (good, bad) in record.items()}
         told = {uid for uid, (_, what) in self.said.items() if what[1]}
+        told |= {uid for uid in accused if sum(held.get(uid, (0.0, 0.0)))}
         due = [uid for uid in held if (held[uid][1] or uid in told) and self.news(uid, held[uid], now)]
         due.sort(key=lambda uid: held[uid][1], reverse=True)
         found = [(uid, held[uid]) for uid in due[:MOST_WORDS]]
         whole = round(sum(g for g, _ in held.values()), 1), round(sum(b for _, b in held.values()), 1)
-        if (found or any(bad for _, bad in held.values())) and self.news(ALL, whole, now):
+        if (found or accused or any(bad for _, bad in held.values())) and self.news(ALL, whole, now):
             found.append((ALL, whole))
         self.said |= {uid: (now, what) for uid, what in found}
         for uid in [uid for uid in self.said if uid not in held and uid != ALL]:
@@ -59,13 +65,17 @@
     whole: Record
 
 
+def credit(word: Word) -> float:
+    """From 0 to 1: how well its writer does with everybody else; one whose own line is bad does not."""
+    good, bad = (max(a - b, 0.0) for a, b in zip(word.whole, word.record, strict=True))
+    return ((good + 1) / (good + bad + 1)) ** 2
+
+
 def weight(word: Word) -> float:
     """From 0 to 1: how far a word counts."""
-    good, bad = (max(a - b, 0.0) for a, b in zip(word.whole, word.record, strict=True))  # with everybody else
-    credit = ((good + 1) / (good + bad + 1)) ** 2
     fresh = max(1 - word.age / SPAN, 0.0)
     total = sum(word.record)
-    return credit * fresh * (1.0 if word.near else ABROAD) * min(1.0, MOST / total if total else 1.0)
+    return credit(word) * fresh * (1.0 if word.near else ABROAD) * min(1.0, MOST / total if total else 1.0)
 
 
 def combined(words: Iterable[Word]) -> Record:
--- a/weldbend/fleet/messages.py
+++ b/weldbend/fleet/messages.py
@@ -76,6 +76,38 @@
     rumours: Rumours = []
 
 
+# Shares of limits, lent and given back (see shares).
+
+Limit = Annotated[str, Meta(min_length=1, max_length=96)]
+Parts = Annotated[int, Meta(ge=0, le=10_000)]
+
+
+class Borrow(Body, tag=7, frozen=True, array_like=True):
+    """Lend me so many parts in all, in place of what I have from you."""
+
+    limit: Limit
+    number: Count
+    parts: Parts
+
+
+class Grant(Body, tag=8, frozen=True, array_like=True):
+    """The answer to the asking of that run and number; `spare` is what could be had yet."""
+
+    limit: Limit
+    epoch: Count
+    number: Count
+    parts: Parts
+    spare: Parts = 0
+
+
+class Back(Body, tag=9, frozen=True, array_like=True):
+    """I spend no more of that loan; `unspent`: nor have I spent anything in the last window."""
+
+    limit: Limit
+    number: Count
+    unspent: bool = False
+
+
 # What goes over links: replicated state. Ages, not moments, cross: clocks may be apart.
 
 
@@ -140,7 +172,8 @@
     why: Annotated[str, Meta(max_length=32)]
 
 
-Datagram = Probe | Ack | Ask | Nack | Ahead | Leaving
+Shared = Borrow | Grant | Back
+Datagram = Probe | Ack | Ask | Nack | Ahead | Leaving | Shared
 Linked = Hello | Have | Delta | Want | Piece | Refusal
 Any_ = Datagram | Linked
 
--- a/weldbend/fleet/service.py
+++ b/weldbend/fleet/service.py
@@ -17,6 +17,7 @@
 from weldbend.fleet import messages as m
 from weldbend.fleet.catchup import Exchange, Say, awake, neighbours
 from weldbend.fleet.copies import Change, Copies
+from weldbend.fleet.limits import Limits
 from weldbend.fleet.links import Links, Timers
 from weldbend.fleet.members import Membership, Send, Sight, State, View
 from weldbend.fleet.seal import BadKeys, BadSeal, Sealer, read_keys
@@ -86,6 +87,7 @@
         self.lost: dict[str, float] = {}  # when each peer's link was lost last
         self.sight = Sight.WAKING
         self.stopped = False
+        self.limits: Limits | None = None  # strict limits shared with others, where there are some
 
     # Start, stop, change.
 
@@ -134,13 +136,15 @@
     def turn(self) -> None:
         if self.stopped:
             return
+        self.timers.after(TURN, self.turn)  # first: a fault in one part must not end the others
         now = self.timers.now()
         self.wake(now)
         self.send(self.members.turn(now))
         self.settle(now)
         self.carry(self.exchange.turn(now))
+        if self.limits:
+            self.send(self.limits.turn(now, self.here()))
         self.links.look()
-        self.timers.after(TURN, self.turn)
 
     def wake(self, now: float) -> None:
         if self.members.stands_still(now):
@@ -161,6 +165,8 @@
         if self.members.epoch != self.sealer.epoch:  # its clock went back, or it has a double
             logger.warning("fleet: own epoch raised from {} to {}", self.sealer.epoch, self.members.epoch)
             self.sealer.epoch = self.members.epoch
+            if self.limits:
+                self.limits.renumber(self.members.epoch)
 
     def report(self) -> None:
         if self.stopped:
@@ -218,9 +224,25 @@
             self.counts["messages that cannot be read"] += 1
             return
         self.wake(now)
-        self.send(self.members.hear(now, opened.header.sender, opened.header.epoch, body))
+        header = opened.header
+        if isinstance(body, m.Shared):
+            self.shared(now, header.sender, header.epoch, body)
+            return
+        self.send(self.members.hear(now, header.sender, header.epoch, body))
         self.settle(now)
 
+    def shared(self, now: float, sender: str, epoch: int, body: m.Shared) -> None:
+        """About a strict limit: only of a member, in the run that is known of it."""
+        member = self.members.members.get(sender)
+        if self.limits is None or member is None or member.epoch != epoch or self.members.contested:
+            self.counts["shares of nobody known"] += 1
+            return
+        self.send(self.limits.hear(now, sender, epoch, body))
+
+    def here(self) -> list[str]:
+        """Members that may answer."""
+        return [one.name for one in self.members.members.values() if one.state is State.ALIVE]
+
     # Links.
 
     def link_up(self, peer: str, epoch: int) -> None:
--- a/weldbend/fleet/terms.py
+++ b/weldbend/fleet/terms.py
@@ -1,7 +1,7 @@
 """What an installation says of its fleet: the fields that `[fleet]` sets, and what follows. No I/O."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 LONGEST_NAME = 48  # bytes of a front's, a fleet's or a zone's name
 MOST_PEERS = 256  # named in one installation file
@@ -23,6 +23,21 @@
     zone: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """What is limited for the whole fleet. Rates are downloads a second of all fronts together; seconds."""
+
+    lease: float = 1.0  # term of what is lent
+    drift: float = 0.01  # by which steady clocks may run apart, a share of each
+    cold: bool = True  # budgets of cold caches, by leases
+    parents: bool = True  # what is out at all parents, by need
+    verdicts: bool = True
+    cast: float = 600.0  # for which a client stays cast out
+    strict: tuple[tuple[str, float], ...] = ()  # content type and rate: never over
+    soft: tuple[tuple[str, float], ...] = ()
+    client: float = 0.0  # of one client (address), 0: none
+
+
 @dataclass(frozen=True, slots=True)
 class Terms:
     """All in seconds, bytes and bytes a second. An empty `listen` is a front without a fleet."""
@@ -44,6 +59,7 @@
     outbox: int = 1_000_000  # bytes that wait for one peer at most
     ops: int = 4096  # of each writer, kept for deltas
     exchange: float = 2.0  # between two comparisons of copies with one peer
+    limits: Limited = field(default_factory=Limited)
     popularity: bool = False  # whether fronts of a zone count their clients' wishes together
 
     def suspicion(self, members: int, voices: int) -> float:
--- a/weldbend/front/life.py
+++ b/weldbend/front/life.py
@@ -226,6 +226,14 @@
     def fault(self, at: str) -> None:
         self.loop.show(at)
 
+    def welcome(self, host: str) -> bool:
+        """Whether a client may connect: the fleet may have cast it out."""
+        return not (self.shared and self.shared.bars(host))
+
+    def cast_out(self, host: str) -> None:
+        if self.shared:
+            self.shared.casts(host)
+
     def now(self) -> float:
         return self.clock.now()
 
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -53,6 +53,7 @@
     def ran(self, type: str, once: str, repeat: bool) -> tuple[face.Ran, ...]: ...
     def sent(self, type: str, once: str, cache: int) -> None: ...
     def holds(self, now: float) -> bool: ...
+    def over(self, type: str, client: str) -> bool: ...
 
 
 PAUSE, LATE = 0.001, 0.005  # seconds between turns that are a pause, and of a turn that is told to be late
@@ -117,10 +118,11 @@
         work, peers = wish.kb / self.site.flow, self.peers
         ran = peers.ran(wish.type, wish.once, wish.repeat) if peers and wish.once else ()
         elsewhere = peers.asked(wish.type, wish.key, wish.part, wish.repeat) if peers else 0
+        over = bool(peers and peers.over(wish.type, call.client.host()))
         self.post(
             face.Asked(
                 name, wish.key, wish.part, wish.group, wish.type, work, wish.repeat, until, call.waited,
-                ran, elsewhere,
+                ran, elsewhere, over,
             )
         )  # fmt: skip
 
@@ -198,8 +200,9 @@
 
     # What the decisions want.
 
-    def post(self, event: face.Event) -> None:
-        self.events.append(event)
+    def post(self, event: face.Event, first: bool = False) -> None:
+        """Hand it over in this turn; `first` before all that waits, so that it holds for that as well."""
+        self.events.insert(0 if first else len(self.events), event)
         if not self.turning:
             self.turning, now = True, self.clock.now()
             if now > self.rested + PAUSE:  # there was time to spare since the last turn
--- a/weldbend/installation/keys.py
+++ b/weldbend/installation/keys.py
@@ -147,6 +147,49 @@
     return text == "on"
 
 
+def percent(least: float, most: float) -> Callable[[str], float]:
+    """A check of shares such as `1 %`; gives a fraction."""
+
+    def check(text: str) -> float:
+        found = re.fullmatch(r"([0-9]{1,3}(?:\.[0-9]{1,4})?)\s*%", text)
+        if not found:
+            raise BadValue(f"{text!r:.40} is no share such as '1 %'")
+        value = float(found[1]) / 100
+        if not least <= value <= most:
+            raise BadValue(f"{text} is not between {least * 100:g} % and {most * 100:g} %")
+        return value
+
+    return check
+
+
+def rates(text: str) -> tuple[tuple[str, float], ...]:
+    """A check of lists such as `order=50, photo=400`: content types, and downloads a second."""
+    found: dict[str, float] = {}
+    for part in filter(None, (part.strip() for part in word_or_none(text).split(","))):
+        name, _, figure = (one.strip() for one in part.partition("="))
+        if not WORD.fullmatch(name) or not re.fullmatch(r"[0-9]{1,7}(\.[0-9]{1,3})?", figure):
+            raise BadValue(f"{part!r:.60} is no limit such as 'order=50'")
+        if not 0.1 <= float(figure) <= 1e6:
+            raise BadValue(f"{part}: not between 0.1 and 1000000 a second")
+        if name in found:
+            raise BadValue(f"{name} stands there twice")
+        found[name] = float(figure)
+    return tuple(found.items())
+
+
+def shown_rates(held: tuple[tuple[str, float], ...]) -> str:
+    return ", ".join(f"{name}={rate:g}" for name, rate in held) or "none"
+
+
+def limits_agree(held: fleet.Limited) -> str | None:
+    both = {name for name, _ in held.strict} & {name for name, _ in held.soft}
+    return f"{sorted(both)[0]} has a strict limit and a soft one" if both else None
+
+
+def shown_switch(held: bool) -> str:
+    return "on" if held else "off"
+
+
 def path(text: str) -> str:
     return word_or_none(text)
 
@@ -200,9 +243,24 @@
             Key("rate", "rate", whole(10_000, 100_000_000)),
             Key("outbox", "outbox", whole(65_536, 64_000_000)),
             Key("ops", "ops", whole(16, 65_536)),
-            Key("popularity", "popularity", switch, lambda held: "on" if held else "off"),
+            Key("popularity", "popularity", switch, shown_switch),
         ),
         fleet.Terms(),
         fleet_agrees,
     ),
+    "limits": Section(
+        (
+            Key("lease", "lease", seconds(0.2, 60.0), shown),
+            Key("drift", "drift", percent(0.0, 0.2), lambda held: f"{held * 100:g} %"),
+            Key("cold", "cold", switch, shown_switch),
+            Key("parents", "parents", switch, shown_switch),
+            Key("verdicts", "verdicts", switch, shown_switch),
+            Key("cast-for", "cast", seconds(1.0, 900.0), shown),
+            Key("strict", "strict", rates, shown_rates),
+            Key("soft", "soft", rates, shown_rates),
+            Key("client", "client", lambda text: float(whole(0, 1_000_000)(text)), lambda held: f"{held:g}"),
+        ),
+        fleet.Limited(),
+        limits_agree,
+    ),
 }
--- a/weldbend/interface.py
+++ b/weldbend/interface.py
@@ -173,6 +173,7 @@
     waited: float = 0.0  # for which it lay at the door while others that had come before were read
     ran: tuple[Ran, ...] = ()  # at other fronts, of an earlier try of it
     elsewhere: int = 0  # times that other fronts were asked for the object lately
+    over: bool = False  # beyond a limit that holds for the whole fleet
 
 
 @dataclass(frozen=True, slots=True)
@@ -244,6 +245,35 @@
     bad: float
 
 
+@dataclass(frozen=True, slots=True)
+class Share:
+    """This front's part of what all fronts together may send a cold cache: kept, and lent until a moment.
+
+    Parts of the whole budget; `shared` is false where each has the fixed share again.
+    """
+
+    cache: int
+    shared: bool = False
+    kept: float = 0.0
+    lent: float = 0.0
+    until: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """This front's part, by its need, of what all fronts together may have out at the parents."""
+
+    part: float
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The part of its work that a cache may have from here, by the fleet's verdict: 0 none, 1 all."""
+
+    cache: int
+    part: float
+
+
 @dataclass(frozen=True, slots=True)
 class Probed:
     cache: int
@@ -265,9 +295,10 @@
     text: bytes
 
 
+OfCache = Reached | Known | Evidence | Share | Verdict  # what concerns one cache, and goes to it
 Event = (
-    Listed | Asked | Began | Ended | Left | Purged | Woke | Reached | Known | RanToo | Evidence | Probed
-    | Pressed | Told
+    Listed | Asked | Began | Ended | Left | Purged | Woke | Reached | Known | RanToo | Evidence | Share | Part
+    | Verdict | Probed | Pressed | Told
 )  # fmt: skip
 
 
--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -94,7 +94,7 @@
         self.id, self.role, self.zone, self.cell = entry.id, entry.role, entry.zone, entry.cell
         self.phase, self.weight, self.started = entry.phase, entry.weight, entry.started
         self.out: dict[Pull, None] = {}
-        self.heard = (0.0, 0.0)  # good and bad answers that peers' evidence counts for
+        self.heard, self.open = (0.0, 0.0), 1.0  # peers' evidence, good and bad; the fleet's verdict
         self.reset()
 
     def reset(self) -> None:
@@ -102,6 +102,7 @@
         self.good, self.bad, self.spoke = Buckets(MEMORY), Buckets(MEMORY), Buckets(MEMORY)
         self.out = {}
         self.through, self.timely, self.late = 0, Buckets(CROWD_SPAN), Buckets(CROWD_SPAN)
+        self.share, self.wanted = face.Share(self.id), Buckets(self.router.facts.cold_window)
         self.cut = self.broke = self.before = self.turn = self.marked = -math.inf
         facts = self.router.facts
         self.sharers = [facts.zone_fronts, facts.hub_fronts, facts.fronts][list(Role).index(self.role)]
@@ -128,6 +129,10 @@
                     self.phase = note.phase
             case face.Evidence(_, good, bad):
                 self.heard = good, bad
+            case face.Share():
+                self.share = note
+            case face.Verdict():
+                self.open = note.part
             case Pull() if note.at() is not self:
                 self.through = max(0, self.through + (1 if note.result is None else -1))
             case Pull(result=None):
@@ -189,6 +194,8 @@
 
         Prior and bar are the peers': what strikes all alike scatters nothing, nor does one failure where few
         are seen. Harm: after a short trouble a sound cache is passed by for up to MEMORY."""
+        if self.open < 1 and self.router.chance.random() >= self.open:
+            return False
         doubts = self.bad.total(self.router.now) + self.heard[1]
         return doubts == 0 or self.draw(peers) > BAR * peers
 
@@ -210,7 +217,7 @@
         self.router, self.out, self.cut, self.part = router, 0, -math.inf, 1.0
 
     def limit(self) -> float:
-        share = sum(c.weight for c in self.router.placement.ready[Role.PARENT]) / self.router.facts.fronts
+        share = sum(c.weight for c in self.router.placement.ready[Role.PARENT]) * self.router.share
         return self.part * (share + SPREAD * math.sqrt(share))
 
     def told(self, mark: Mark) -> None:
@@ -226,7 +233,7 @@
 
     def room(self, dense: bool) -> bool:
         facts = self.router.facts
-        free = max(self.limit(), LEAST / facts.fronts) * (HEADROOM if dense else 1.0) - self.out
+        free = max(self.limit(), LEAST * self.router.share) * (HEADROOM if dense else 1.0) - self.out
         return not facts.weighted or free >= 1 or (free > 0 and self.router.chance.random() < free)
 
 
@@ -389,7 +396,7 @@
         router, kind = self.router, self.router.facts.types[asked.type]
         self.downloads.add(router.now)
         best = kind.benefit >= max(k.benefit for k in router.facts.types.values())
-        late = max(self.pressed() / PRESSED, asked.waited / (WAITED * kind.target))
+        late = max(self.pressed() / PRESSED, asked.waited / (WAITED * kind.target), 3.0 * asked.over)
         share = late - (2 if best else 1)
         if share > 0 and router.chance.random() < share:
             router.actions.append(face.Throttle(asked.id, router.facts.longest_wait))
@@ -434,24 +441,35 @@
 
     def bears(self, cache: Cache, dl: "Download") -> bool:
         """A cache that started lately gets this front's share of what it can bear, and no more."""
-        facts, part = self.router.facts, cache.part()
-        if part >= 1:
+        facts = self.router.facts
+        if cache.part() >= 1:
             return True
-        multiple = facts.parent_multiple if cache.role is Role.PARENT else facts.cold_multiple
-        most = multiple * part * self.capacity(cache) * facts.cold_window * CARE
+        most = self.budget(cache) * self.capacity(cache)
         now, work = self.router.now, self.router.mean_work(dl.type)
-        if most >= work:
+        cache.wanted.add(now, work)
+        if most >= work or cache.share.shared:
             return self.sent[cache].total(now) + work <= most
         turn = facts.cold_window * work / most
         if cache.turn == -math.inf:
             cache.turn = now - turn * self.router.chance.random()
         return now - cache.turn >= turn
 
+    def budget(self, cache: Cache) -> float:
+        """Work for each flow of its link that a cold cache bears in a window of the rule."""
+        facts = self.router.facts
+        multiple = facts.parent_multiple if cache.role is Role.PARENT else facts.cold_multiple
+        return multiple * cache.part() * facts.cold_window * CARE
+
     def capacity(self, cache: Cache) -> float:
-        """This front's share of a cache's link in flows: as listed, else what warm ones were given lately."""
-        if self.router.facts.weighted:  # any front may come to a parent
-            return cache.weight / (cache.sharers if cache.role is Role.EDGE else self.router.facts.fronts)
-        return max(self.borne.get(cache.role, 0.0), BORNE / cache.sharers)
+        """This front's share of a cache's link in flows: as listed, else what warm ones were given lately.
+
+        Fronts that share by leases have what they hold now of the whole: what is lent ends."""
+        facts, held = self.router.facts, cache.share
+        if not facts.weighted:
+            return max(self.borne.get(cache.role, 0.0), BORNE / cache.sharers)
+        if held.shared:
+            return cache.weight * (held.kept + held.lent * (self.router.now < held.until))
+        return cache.weight / (cache.sharers if cache.role is Role.EDGE else facts.fronts)  # all at a parent
 
     def send(self, pull: Pull) -> None:
         dl, now, work = pull.dl, self.router.now, self.router.mean_work(pull.dl.type)
@@ -638,7 +656,7 @@
         self.caches: dict[int, Cache] = {}
         self.downloads: dict[str, Download] = {}
         self.prefilter, self.placement, self.gate = Prefilter(self), Placement(self), Gate(self)
-        self.tier = Tier(self)
+        self.tier, self.share = Tier(self), 1 / facts.fronts  # this front's part of what goes to parents
         self.pace = {
             (name, role): (Buckets(MEMORY), Buckets(MEMORY)) for name in facts.types for role in Role
         }
@@ -679,7 +697,9 @@
                 why, name, *pull = token.split(":")
                 if dl := self.downloads.get(name):
                     yield dl, (Doubt(dl.pulls[int(pull[0])], event.silent) if why == "slow" else event)
-            case face.Reached() | face.Known() | face.Evidence() if event.cache in self.caches:
+            case face.Part(part):
+                self.share = part
+            case _ if isinstance(event, face.OfCache) and event.cache in self.caches:
                 yield self.caches[event.cache], event
                 if isinstance(event, face.Known):
                     yield self.placement, event
@@ -704,6 +724,14 @@
         """Good and bad ends of the pulls at each cache in MEMORY: what a front can tell its peers."""
         return {c.id: (c.good.total(now), c.bad.total(now)) for c in self.caches.values()}
 
+    def cold(self, number: int, now: float) -> tuple[float, float, float, float]:
+        """Of a cold cache: the work that all fronts may send it in a window, what this one sent and wanted to
+        send, and the work of one pull; no bound where it is warm."""
+        cache, gate = self.caches[number], self.gate
+        whole = gate.budget(cache) * cache.weight if cache.part() < 1 else math.inf
+        work = max(self.mean_work(kind) for kind in self.kinds if not kind.at_origin)
+        return whole, gate.sent[cache].total(now), cache.wanted.total(now), work
+
     def learn(self, dl: Download, pull: Pull, late: bool) -> None:
         times, scale = self.pace[dl.type.name, pull.at().role]
         times.add(self.now, pull.ended.took)
