--- a/weldbend/interface.py
+++ b/weldbend/interface.py
@@ -289,6 +289,13 @@
     late: float
 
 
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Other facts of the site hold from now on; what is open goes on under those it began with."""
+
+    facts: SiteFacts
+
+
 @dataclass(frozen=True, slots=True)
 class Told:
     front: int
@@ -298,7 +305,7 @@
 OfCache = Reached | Known | Evidence | Share | Verdict  # what concerns one cache, and goes to it
 Event = (
     Listed | Asked | Began | Ended | Left | Purged | Woke | Reached | Known | RanToo | Evidence | Share | Part
-    | Verdict | Probed | Pressed | Told
+    | Verdict | Probed | Pressed | Changed | Told
 )  # fmt: skip
 
 
--- a/weldbend/logic.py
+++ b/weldbend/logic.py
@@ -38,6 +38,7 @@
 THROUGH = 0.5  # what a fill that passes an edge counts there, a look counting one
 BACK = 0.5  # seconds after which a throttled client may come back
 CARE = 0.75  # part of a cold cache's budget that is used
+OPEN = 0.5  # part of the budget's window for which a front's turn at a cold cache stays open
 PRIOR = 4  # downloads that a content type's target time counts for in its mean work
 BORNE = 0.5  # flows that a cache is held to bear before any was seen to bear more
 NOT_RUN = {Result.TURNED_AWAY, Result.UNREACHED, Result.MOOT, Result.MISS}
@@ -102,13 +103,20 @@
         self.good, self.bad, self.spoke = Buckets(MEMORY), Buckets(MEMORY), Buckets(MEMORY)
         self.out = {}
         self.through, self.timely, self.late = 0, Buckets(CROWD_SPAN), Buckets(CROWD_SPAN)
-        self.share, self.wanted = face.Share(self.id), Buckets(self.router.facts.cold_window)
-        self.cut = self.broke = self.before = self.turn = self.marked = -math.inf
+        self.share = face.Share(self.id)
+        self.settle()
+        self.cut = self.broke = self.before = self.marked = -math.inf
+        self.saved: float | None = None  # work that this front may put to it while cold, where below a pull
+        self.counted = self.rate = 0.0  # when that was added up last, and by how much a second it grew then
         facts = self.router.facts
-        self.sharers = [facts.zone_fronts, facts.hub_fronts, facts.fronts][list(Role).index(self.role)]
         told, share = facts.weighted and self.role is not Role.ORIGIN, self.weight / self.sharers
         self.limit = share + SPREAD * math.sqrt(share) if told else START
 
+    def settle(self) -> None:
+        facts = self.router.facts
+        self.sharers = [facts.zone_fronts, facts.hub_fronts, facts.fronts][list(Role).index(self.role)]
+        self.wanted = Buckets(facts.cold_window)
+
     def take(self, note: Any) -> None:
         now = self.router.now
         if isinstance(note, Pull) and note.cache is self and note.result in (Result.UNREACHED, Result.RESET):
@@ -127,6 +135,8 @@
                     self.reset()
                 if note.phase and note.phase.value > self.phase.value:
                     self.phase = note.phase
+            case face.Changed():
+                self.settle()
             case face.Evidence(_, good, bad):
                 self.heard = good, bad
             case face.Share():
@@ -185,6 +195,22 @@
         age = max(self.router.now - started, 0.0)
         return min(1.0, floor + (1 - floor) * age / (facts.parent_time if parent else facts.cold_time))
 
+    def turn(self, now: float, most: float, work: float, window: float) -> bool:
+        """Whether it is this front's turn at a cold cache whose budget gives it less than a pull a window.
+
+        Work is saved up from a random start, by what the cache bore meanwhile, and a turn not taken soon is
+        lost. Guards against fronts that all have a turn left over when the cache has warmed a little, or
+        when traffic comes at once. Harm: a front that asks seldom misses most of its turns."""
+        rate = most / window
+        if self.saved is None:
+            self.saved = work * self.router.chance.random()
+        else:
+            self.saved += (self.rate + rate) / 2 * (now - self.counted)
+        self.counted, self.rate, over = now, rate, self.saved % work
+        due = self.saved >= work and over <= OPEN * most
+        self.saved = over + work if due else over if self.saved > 0 else self.saved
+        return due
+
     def share_bad(self) -> float:
         good, bad = self.good.total(self.router.now), self.bad.total(self.router.now)
         return (bad + 0.1) / (good + bad + 1)
@@ -383,6 +409,11 @@
                 self.router.actions.append(face.CallOff(pull.dl.asked.id, pull.number))
             case face.Purged():
                 self.purged(note)
+            case face.Changed(facts):  # what was sent counts in the new window as if sent now
+                before, now = self.sent, self.router.now
+                self.sent = defaultdict(lambda: Buckets(facts.cold_window))
+                for cache, sent in before.items():
+                    self.sent[cache].add(now, sent.total(now))
             case Download() if not note.closed:
                 self.answer(note)
 
@@ -440,7 +471,9 @@
         return all(getattr(p.cache, group) == getattr(pull.cache, group) for p in pull.dl.maybe())
 
     def bears(self, cache: Cache, dl: "Download") -> bool:
-        """A cache that started lately gets this front's share of what it can bear, and no more."""
+        """A cache that started lately gets this front's share of what it can bear, and no more.
+
+        A front that has itself just started may have sent some before: share grows over a window."""
         facts = self.router.facts
         if cache.part() >= 1:
             return True
@@ -448,11 +481,9 @@
         now, work = self.router.now, self.router.mean_work(dl.type)
         cache.wanted.add(now, work)
         if most >= work or cache.share.shared:
-            return self.sent[cache].total(now) + work <= most
-        turn = facts.cold_window * work / most
-        if cache.turn == -math.inf:
-            cache.turn = now - turn * self.router.chance.random()
-        return now - cache.turn >= turn
+            begun = min(1.0, (now - self.router.born) / facts.cold_window)
+            return self.sent[cache].total(now) + work <= most * begun
+        return cache.turn(now, most, work, facts.cold_window)
 
     def budget(self, cache: Cache) -> float:
         """Work for each flow of its link that a cold cache bears in a window of the rule."""
@@ -477,7 +508,7 @@
         self.further.add(now, dl.further())
         for cache in pull.caches():
             self.sent[cache].add(now, work)
-            cache.turn = now
+            cache.saved = None if cache.saved is None else cache.saved - work
         join = self.router.facts.joins and not any(p.source and not p.held for p in dl.pulls)
         name, at, age = dl.asked.id, pull.cache.id, self.age(pull)
         by = pull.source.id if pull.source else None if pull.cache.role is Role.ORIGIN else at
@@ -651,7 +682,7 @@
     """The door: ids become objects here, and one loop empties every inbox."""
 
     def __init__(self, seed: int, facts: face.SiteFacts) -> None:
-        self.facts, self.now = facts, 0.0
+        self.facts, self.now, self.born = facts, 0.0, math.inf
         self.chance = Chance(seed)
         self.caches: dict[int, Cache] = {}
         self.downloads: dict[str, Download] = {}
@@ -670,7 +701,7 @@
         self.busy.append(actor)
 
     def handle(self, now: float, events: Iterable[face.Event]) -> list[face.Action]:
-        self.now, self.actions = now, []
+        self.now, self.born, self.actions = now, min(now, self.born), []
         if self.facts.subscribes and not self.watched:
             self.watched = True
             self.actions.append(face.Watch())
@@ -699,11 +730,26 @@
                     yield dl, (Doubt(dl.pulls[int(pull[0])], event.silent) if why == "slow" else event)
             case face.Part(part):
                 self.share = part
+            case face.Changed(facts):
+                self.settle(facts)
+                yield from ((actor, event) for actor in (*self.caches.values(), self.gate, self.placement))
             case _ if isinstance(event, face.OfCache) and event.cache in self.caches:
                 yield self.caches[event.cache], event
                 if isinstance(event, face.Known):
                     yield self.placement, event
 
+    def settle(self, facts: face.SiteFacts) -> None:
+        """Go by other facts. What was learned of content types that are still asked for, or open, stays."""
+        self.share = self.share if facts.fronts == self.facts.fronts else 1 / facts.fronts
+        self.facts, self.kinds = facts, tuple(facts.types.values())
+        names = facts.types.keys() | {dl.type.name for dl in self.downloads.values()}
+        self.pace = {
+            (name, role): self.pace.get((name, role)) or (Buckets(MEMORY), Buckets(MEMORY))
+            for name in names
+            for role in Role
+        }
+        self.mean = {name: self.mean.get(name, (0.0, 0)) for name in names}
+
     def listed(self, event: face.Listed) -> Iterator[tuple[Actor, Any]]:
         if event.scale is Scale.FAILED:
             if self.facts.subscribes:
