Send nothing for clients that have gone, drain before a close, and lose nothing at the stop

Cause, found by a review of every path that ends something (docs/endings.md), each shown by a test that failed on: a client's end (FIN) counted as half a close, so all went on for it, and a request and its end were read in two looks with a pull between; a pull that waited for a connection went out in the look in which its client's end lay unread, and stayed waiting where a site lets nothing be called off; withdrawals and ends went unheard while answers waited for a client; closes over unread bytes reset answers still on their way; half a call of a client that had not yet spoken was closed at the stop, and so was a connection that the system had accepted as the port closed; the last moment of a stop was 3.4 s whatever the site's expiries (a kill may come 1.7 s after SIGTERM where they are 1 s); answers that lay whole in a ring were lost with their connection; an answer that never ends held up all behind it; SIGHUP while loading ended the process; new settings waited for a restart.

Change: clients without half-close; one more look at the sockets before a turn (Loop.heard) and before waiting pulls go (Lane.room); Loop.close takes back what waits; Client.look_ahead and Hangups; Client.close says the end, drains 0.25 s or 1 MB, closes; Listener.stop empties the system's queue; the last moment by the site's longest expiry; read_out; bounds for answers and for closes to caches; early.py; SIGHUP hands settings to the decisions, what is open keeps its own.

--- a/tests/fronts.py
+++ b/tests/fronts.py
@@ -179,6 +179,7 @@
         self.protocol.connectionLost(Failure(ConnectionDone()))
 
     abortConnection = loseConnection
+    loseWriteConnection = loseConnection  # a client in memory closes as soon as it hears of the end
 
     def taken(self):
         data = self.value()
@@ -266,6 +267,7 @@
         self.door.listener.watch = lambda: None  # a port in memory has no socket
         self.door.start()
         self.door.open()
+        self.door.listener.port.doRead = lambda: None  # nobody waits to be accepted
         self.turn()
 
     def unix(self):
--- a/weldbend/caches/connection.py
+++ b/weldbend/caches/connection.py
@@ -22,6 +22,7 @@
 STALL = 0.2  # seconds in which the next byte of an answer that has begun must come
 LAST = ("DONE", "KEEP")  # answers after which a download has no further pull
 AGAIN = 0.02  # seconds after which that is looked at once more
+LEAVE = 1.0  # seconds in which what was written to a connection that is closed has to leave it
 OUT = 1 << 17  # holds the longest command whole, and what comes behind it
 
 
@@ -56,6 +57,10 @@
             self.over = True
             self.ended(self, how)
 
+    def waits(self) -> bool:
+        """Whether no byte of it has gone out, and one may still."""
+        return not self.over and self.connection is None
+
 
 class Timer(Protocol):
     def cancel(self) -> None: ...
@@ -70,6 +75,7 @@
     """Who keeps the connections of one cache."""
 
     streams: int
+    longest: float  # seconds for which anyone waits for an answer
 
     def came(self, connection: "CacheConnection") -> None: ...
     def room(self) -> None: ...
@@ -90,6 +96,7 @@
     paused = resting = retired = lost = watched = dropped = False
     how = Lost.RESET  # what is told of the pulls that are out when it ends
     made = used = heard = 0.0
+    answer_begun = answer_ended = 0.0  # when the answer on its way began to come, and when the last was whole
 
     def connectionMade(self) -> None:
         self.parser = Parser(self.incoming)
@@ -112,13 +119,15 @@
         self.write(command)
 
     def undo(self, pull: Pull) -> None:
-        """Give a pull up; a connection on which nothing was heard since it went out takes no more."""
+        """Give a pull up; a connection on which nothing was heard since it went out takes no more, nor does
+        one that has been busy since with an answer which does not end."""
         if self.out.pop(pull.name, None) is not pull or self.lost:
             return
         self.forgo(pull.name)
         self.write(commands.undo(pull.name))
         self.flush()
-        self.retired = self.retired or self.heard <= pull.sent
+        stuck = self.incoming and not self.resting and self.answer_ended <= pull.sent
+        self.retired = self.retired or self.heard <= pull.sent or bool(stuck)
         self.settle()
 
     def forgo(self, name: str) -> None:
@@ -162,6 +171,8 @@
 
     def dataReceived(self, data: bytes) -> None:
         self.heard = self.timers.now()
+        if not self.incoming:
+            self.answer_begun = self.heard
         must(self.incoming.write(data) == len(data), "a cache's ring has room for a chunk")
         if not self.resting:
             self.read()
@@ -178,8 +189,8 @@
     def watch(self) -> None:
         """Guards all that is out here against an answer that stops in the middle: what follows never comes.
 
-        Answers are written whole, so one that has begun is as good as here. Harm: one whose bytes do come on
-        after a longer standstill is asked for again.
+        Answers are written whole, so one that has begun is as good as here; it ends before anyone's expiry.
+        Harm: one whose bytes do come on after a longer standstill is asked for again.
         """
         self.watched = True
         self.timers.after(STALL, self.look)
@@ -189,7 +200,9 @@
         self.watched = False
         if self.lost or self.dropped or self.resting or not self.incoming:
             return
-        if self.timers.now() < self.heard + STALL:
+        if self.timers.now() > self.answer_begun + self.owner.longest:
+            self.spoilt("answers that never end")
+        elif self.timers.now() < self.heard + STALL:
             self.watch()
         elif sure:
             self.spoilt("answers that stop in the middle")
@@ -208,9 +221,11 @@
         self.resting = resting
         (self.transport.pauseProducing if resting else self.transport.resumeProducing)()
         if not resting:
+            self.answer_begun = self.timers.now()
             self.read()
 
     def answered(self, answer: Answer) -> None:
+        self.answer_begun = self.answer_ended = self.timers.now()
         pull = self.out.pop(answer.name, None)
         if pull:
             if answer.word not in LAST:
@@ -236,9 +251,15 @@
             self.close()
 
     def close(self) -> None:
-        if not self.lost:
+        """Close once what was written has left, or soon: a cache that hangs might never take it."""
+        if not (self.lost or self.dropped):
             self.transport.unregisterProducer()
             self.transport.loseConnection()
+            self.timers.after(LEAVE, self.let_go)
+
+    def let_go(self) -> None:
+        if not self.lost:
+            self.transport.abortConnection()
 
     def drop(self, how: Lost = Lost.RESET) -> None:
         """End it at once; what is out on it has ended when the socket is closed, not before.
@@ -252,10 +273,25 @@
     def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
         self.end(self.how)
 
+    def read_out(self) -> None:
+        """Take the answers that came whole before the end, and lay unread as nothing had room for them.
+
+        Guards pulls that ran from passing for lost, and downloads from being abandoned over an answer that
+        is here. Harm: answers beyond what slow readers may hold, one ring of them.
+        """
+        self.resting = False
+        try:
+            while answer := self.parser.next():
+                self.answered(answer)
+        except BadAnswer:
+            odd["garbage from a cache"] += 1
+
     def end(self, how: Lost) -> None:
         if self.lost:
             return
         self.lost = True
+        if not self.dropped:
+            self.read_out()
         self.owner.went(self)
         pulls, self.out = list(self.out.values()), {}
         for pull in pulls:
--- a/weldbend/caches/pool.py
+++ b/weldbend/caches/pool.py
@@ -33,6 +33,7 @@
     dial: float
     turn: float
     descriptors: int
+    longest: float  # the longest expiry: nobody waits for an answer beyond it
 
 
 class Dial(ClientFactory):
@@ -56,11 +57,19 @@
 
     def __init__(self, pool: "Pool", cache: int, host: str, port: int) -> None:
         self.pool, self.cache, self.host, self.port = pool, cache, host, port
-        self.streams = pool.bounds.streams
         self.connections: list[CacheConnection] = []
         self.dials: dict[Dial, IConnector] = {}
         self.waiting: deque[Pull] = deque()
         self.closed, self.cut_off = False, 0  # dials in a row that were accepted and reset
+        self.planned = False  # those who wait are looked at in a moment
+
+    @property
+    def streams(self) -> int:
+        return self.pool.bounds.streams
+
+    @property
+    def longest(self) -> float:
+        return self.pool.bounds.longest
 
     def send(self, pull: Pull) -> None:
         if not self.place(pull):
@@ -124,12 +133,23 @@
             pull.end(Lost.UNREACHED)
 
     def room(self) -> None:
+        """Let those who wait go, but hear first what else has come in this moment.
+
+        Guards caches against pulls for clients whose end is read right after their connection came up. Harm:
+        none known: it is a matter of the look at sockets that is under way.
+        """
+        if self.waiting and not self.planned:
+            self.planned = True
+            self.pool.reactor.callLater(0, self.go)
+
+    def go(self) -> None:
         """Let those who wait go, in their order.
 
         Guards against repeats of a download that must not run twice, allowed for a time that may be over, and
         against a burst on a cold cache of all that was decided while its dial took long.
         Harm: one more decision for each.
         """
+        self.planned = False
         now, turn = self.pool.timers.now(), self.pool.bounds.turn
         while self.waiting:
             pull = self.waiting[0]
@@ -228,7 +248,8 @@
         if pull.connection:
             pull.connection.undo(pull)
             return True
-        if lane := self.lanes.get(pull.cache):
+        lane = self.lanes.get(pull.cache)
+        if lane and pull in lane.waiting:
             lane.waiting.remove(pull)
         return False
 
--- a/weldbend/clients/connection.py
+++ b/weldbend/clients/connection.py
@@ -1,15 +1,19 @@
 """A client's connection: calls in, answers out, each direction through one bounded ring.
 
 A download is open from its last byte until its one answer is handed to the connection, or until
-nobody waits for it. The connection never closes by itself while one is open, unless its client does
-what no client of ours does: then all that is open is abandoned, and it is cast out at once.
+nobody waits for it. A client that ends its side has gone: nothing more is done for it. The connection
+never closes by itself while a download is open, unless its client does what no client of ours does: then
+all that is open is abandoned, and it is cast out at once. A close by this front is said first, and what
+still comes is thrown away for a moment: closed over unread bytes, the connection would be reset, and
+an answer that the system still holds would be lost with it.
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
+from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol as Connection
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -20,7 +24,7 @@
 from weldbend.parking.table import Memory
 from weldbend.thrift import messages
 from weldbend.thrift.binary import BadMessage
-from weldbend.thrift.framing import BadFrame, next_frame
+from weldbend.thrift.framing import BadFrame, next_frame, small_frame
 
 CHUNK = 1 << 16  # the most that one read of a socket brings
 LONGEST_FRAME = 48_000 + (1 << 14)  # the longest body, and what comes with it
@@ -28,6 +32,8 @@
 MOST_OPEN = 32  # the protocol's bound on open downloads of one connection
 MOST_FLAWS = 4  # calls turned back that a client may make
 MOST_WITHDRAWN = 64  # calls withdrawn with their own bytes, one after another, that a client may make
+SHORT = 64  # bytes that hold any withdrawal, and no download
+DRAIN, DRAINED = 0.25, 1 << 20  # seconds and bytes for which a client may go on after this front's close
 
 
 @dataclass(eq=False, slots=True)
@@ -71,13 +77,15 @@
     def opened(self, client: "Client") -> None: ...
     def closed(self, client: "Client") -> None: ...
     def held(self, change: int) -> None: ...
+    def heed(self, client: "Client", unread: bool) -> None: ...
+    def later(self, delay: float, call: Callable[[], None]) -> None: ...
     def now(self) -> float: ...
     def fault(self, at: str) -> None: ...
     def welcome(self, host: str) -> bool: ...
     def cast_out(self, host: str) -> None: ...
 
 
-@implementer(IPushProducer, IHalfCloseableProtocol)
+@implementer(IPushProducer)
 @dataclass(eq=False)
 class Client(Connection):
     taker: Taker
@@ -86,8 +94,10 @@
     behind: deque[bytes] = field(default_factory=deque)  # whole answers that the ring has no room for
     open: dict[int, Call] = field(default_factory=dict)
     transport: Any = None
-    paused = ended = lost = resting = reading = shut = False
+    paused = ended = lost = resting = reading = closing = False
     calls = flaws = withdrawn = 0
+    seen_ahead = thrown = 0  # bytes looked at before their turn; bytes that came after this front's close
+    early: set[int] = field(default_factory=set)  # calls withdrawn before they were taken
     heard = begun = 0.0  # when it last was not idle, and since when a call is on its way
     waited = 0.0  # seconds for which what is read now lay there while others were woken
     fresh: set[Call] = field(default_factory=set)  # calls of the read that is under way
@@ -116,6 +126,11 @@
             self.waited = 0.0
 
     def dataReceived(self, data: bytes) -> None:
+        if self.closing:
+            self.thrown += len(data)
+            if self.thrown > DRAINED:
+                self.transport.abortConnection()
+            return
         self.heard = self.taker.now()
         if not self.came:
             self.begun = self.heard
@@ -133,7 +148,10 @@
                 if data is None:
                     break
                 self.begun = self.heard
+                self.seen_ahead = max(self.seen_ahead - len(data) - 4, 0)
                 self.called(messages.read_call(data))
+            if not self.ended:
+                self.look_ahead()
         except (BadFrame, BadMessage):
             self.cast_out("clients that break the protocol")
         finally:
@@ -141,27 +159,35 @@
             if not self.fresh.isdisjoint(self.open.values()):  # some that it still waits for
                 self.withdrawn = 0
             self.fresh.clear()
-        if self.shut and not self.behind:
-            self.ended = True  # all that came whole is taken
         if self.ended:
             self.came.skip(len(self.came))
-        self.rest(self.ended or self.came.free() < CHUNK)
+        self.rest(self.came.free() < CHUNK)
 
-    def readConnectionLost(self) -> None:
-        """Guards against losing downloads of a client that has said all it will say, and still listens.
+    def look_ahead(self) -> None:
+        """Heed withdrawals among calls that wait to be taken, since their client reads no answers.
 
-        Harm: a client that has gone altogether is noticed at the first answer only.
+        Guards caches against pulls for a download that its client has withdrawn meanwhile. Harm: none known;
+        what lies unread beyond the ring is heeded only when it is read.
         """
-        self.shut = True
-        self.go_on()
-
-    def writeConnectionLost(self) -> None:
-        pass  # a connection that cannot be written to is lost as a whole
+        while found := small_frame(self.came, self.seen_ahead, SHORT):
+            after, data = found
+            if data is not None:
+                call = messages.read_call(data)
+                if isinstance(call, messages.GiveUp) and not self.withdraw(call.seqid):
+                    self.early.add(call.seqid)
+            self.seen_ahead = after
 
     def rest(self, resting: bool) -> None:
+        """Read no more, or on. The end of a client is heard of all the same."""
         if resting is not self.resting and not self.lost:
             self.resting = resting
             (self.transport.pauseProducing if resting else self.transport.resumeProducing)()
+            self.taker.heed(self, resting)
+
+    def gone(self) -> None:
+        """Its client has ended its side while nothing was read: what lies unread is of no use."""
+        if not self.lost:
+            self.transport.abortConnection()
 
     def called(self, call: messages.Process | messages.GiveUp | messages.Probe | messages.Wrong) -> None:
         self.calls += 1
@@ -170,15 +196,15 @@
                 self.cast_out("clients with two calls under one number")
             case messages.Process() if len(self.open) >= MOST_OPEN:
                 self.cast_out("clients with more open than they may have")
+            case messages.Process(seqid) if seqid in self.early:
+                self.early.discard(seqid)
             case messages.Process(seqid, fields, body):
                 taken = self.open[seqid] = Call(self, seqid, fields, body, self.waited)
                 self.fresh.add(taken)
                 self.taker.take(taken)
             case messages.GiveUp(seqid):
-                if left := self.open.pop(seqid, None):
-                    left.answered = True
-                    self.taker.leave(left)
-                    self.withdrew(left in self.fresh)
+                self.early.discard(seqid)
+                self.withdraw(seqid)
             case messages.Probe(seqid):
                 self.send(messages.answer("probe", seqid, b"", {}, self.taker.serving()))
             case messages.Wrong() if call.seqid in self.open:
@@ -187,6 +213,15 @@
                 self.send(messages.application_exception(call))
                 self.flawed()
 
+    def withdraw(self, seqid: int) -> bool:
+        """Nobody waits for this call any more; false where none is open under the number."""
+        left = self.open.pop(seqid, None)
+        if left:
+            left.answered = True
+            self.taker.leave(left)
+            self.withdrew(left in self.fresh)
+        return left is not None
+
     def withdrew(self, at_once: bool) -> None:
         """Guards against clients that withdraw calls by the hundred as they bring them.
 
@@ -235,9 +270,7 @@
 
     def parks(self) -> bool:
         """Whether all that there is to know of it is its memory."""
-        return self.idle() and not (
-            self.ended or self.shut or self.lost or self.paused or self.resting or self.reading
-        )
+        return self.idle() and not (self.ended or self.lost or self.paused or self.resting or self.reading)
 
     def memory(self) -> Memory:
         return Memory(self.calls, self.flaws, self.withdrawn, self.heard)
@@ -284,7 +317,7 @@
 
     def go_on(self) -> None:
         """Something has ended: take what waited for that, and close if it was the last."""
-        if (self.came or self.shut) and not (self.ended or self.lost):
+        if self.came and not (self.ended or self.lost):
             self.read()
         self.close_if_done()
 
@@ -304,11 +337,26 @@
             self.close()
 
     def close(self) -> None:
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        """Say that nothing more comes, and hear out what its client still sends until it closes as well.
+
+        Guards answers just written against a reset. Harm: a descriptor is held for DRAIN seconds at most
+        after the last answer has left, by a client that does not close.
+        """
+        if not (self.closing or self.lost):
+            self.ended = self.closing = True
+            self.came.skip(len(self.came))
+            self.rest(False)
+            self.transport.unregisterProducer()
+            self.transport.loseWriteConnection()
+            self.taker.later(DRAIN, self.let_go)
+
+    def let_go(self) -> None:
+        if not self.lost:
+            self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = Failure(Exception())) -> None:  # noqa: B008
         self.lost = True
+        self.taker.heed(self, False)
         self.taker.held(-len(self.going) - sum(map(len, self.behind)))
         self.behind.clear()
         calls, self.open = list(self.open.values()), {}
--- a/weldbend/clients/listener.py
+++ b/weldbend/clients/listener.py
@@ -16,7 +16,7 @@
 from weldbend.checks import odd
 from weldbend.clients.connection import Client, Taker
 from weldbend.parking import rules
-from weldbend.parking.descriptors import Descriptors
+from weldbend.parking.descriptors import Descriptors, Hangups
 from weldbend.parking.lot import Lot, Rim
 from weldbend.parking.rules import Terms, Verdict
 from weldbend.parking.table import Memory
@@ -44,6 +44,7 @@
         self.lot: Lot | None = None
         self.port: Any = None
         self.resting = False
+        self.hangups: Hangups | None = None
         self.looked = 0.0  # when all was looked at last
 
     def count(self) -> int:
@@ -55,13 +56,24 @@
     def listen(self, reactor: Any, host: str, port: int) -> None:
         rim = self.rim(reactor)
         self.lot = Lot(reactor, rim, self.terms, self.taker.now, self.woken, self.rest)
+        self.hangups = Hangups(reactor)
         self.port = reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
         self.watch()
 
-    def stop(self) -> None:
-        if self.port:
-            self.port.stopListening()
-            self.port = None
+    def stop(self) -> bool:
+        """Accept nobody new; whether that is so by now. Those who wait in the kernel's queue are taken first.
+
+        Guards requests that came on a connection which the system has accepted and this front has not:
+        closing the port resets it. Harm: none known; nobody can get in after that.
+        """
+        if self.port and not self.resting:
+            count = self.count()
+            self.port.numberAccepts = self.terms.accepts  # none after a look that found nobody
+            self.port.doRead()
+            if self.count() == count:
+                self.port.stopListening()
+                self.port = None
+        return not self.port
 
     def watch(self) -> None:
         """Have the system end connections of machines that vanished; what is accepted inherits it.
@@ -91,6 +103,13 @@
         self.clients[client] = None
         self.looks.append((self.taker.now() + LOOK, client))
 
+    def heed(self, client: Client, unread: bool) -> None:
+        """Hear of a client's end while it is not read."""
+        if self.hangups and unread:
+            self.hangups.heed(client.transport, client.gone)
+        elif self.hangups:
+            self.hangups.drop(client.gone)
+
     def closed(self, client: Client) -> None:
         self.clients.pop(client, None)
         self.rest()
@@ -121,6 +140,8 @@
 
     def judge(self, client: Client, now: float) -> bool:
         """Look at one; whether anything was done about it."""
+        if client.closing:
+            return False
         verdict = rules.verdict(self.terms, client.seen(now), now, len(self.clients))
         match verdict:
             case Verdict.PARK:
@@ -161,13 +182,14 @@
 
     def make_room(self, new: Client | None = None) -> None:
         """At the bound idle ones go, in the order of `rules.precedence`."""
-        count = min(rules.leaving(self.count(), self.most), self.terms.closes)
+        going = sum(client.closing for client in self.clients) if self.count() >= self.most else 0
+        count = min(rules.leaving(self.count() - going, self.most), self.terms.closes)
         if count and self.lot:
             now, table = self.taker.now(), self.lot.table
             spare: list[tuple[tuple[bool, int, float], int, Client | None]] = [
                 (rules.precedence(other.calls, other.heard, now), -1, other)
                 for other in self.clients
-                if other is not new and other.idle()
+                if other is not new and other.idle() and not other.closing
             ]
             for fd in table.longest(count):
                 spare.append((rules.precedence(table.calls[fd], table.heard[fd], now), fd, None))
@@ -191,7 +213,7 @@
         now = self.taker.now()
         if self.lot and not self.lot.still():
             return False
-        return all(rules.quiet(c.calls, c.idle(), c.heard, now) for c in self.clients)
+        return all(c.closing or rules.quiet(c.idle(), c.heard, now) for c in self.clients)
 
     def close_some(self) -> None:
         """Close all that are live as soon as they are done, and a batch of those parked."""
--- a/weldbend/front/life.py
+++ b/weldbend/front/life.py
@@ -8,7 +8,7 @@
 import resource
 import signal
 from collections.abc import Callable
-from dataclasses import fields
+from dataclasses import fields, replace
 from typing import Any
 
 from loguru import logger
@@ -16,7 +16,7 @@
 from twisted.logger import ILogObserver, LogEvent, LogLevel, formatEvent, globalLogBeginner
 from zope.interface import implementer
 
-from weldbend import checks
+from weldbend import checks, early
 from weldbend.bus.events import Numbered
 from weldbend.bus.reader import BusReader
 from weldbend.clients.connection import Call, Client
@@ -27,10 +27,21 @@
 from weldbend.front.timers import Timers
 
 LINGER = 0.7  # the least time from SIGTERM to the end: clients still come
-LAST = 3.4  # so long after SIGTERM what is still open is abandoned: SIGKILL may come at 3.7
+LAST, LONGEST = 0.4, 3.0  # what is open is abandoned so long after the longest expiry from SIGTERM, of which
+# so much counts: SIGKILL may come 0.3 s later
 FIRST, SETTLE = 0.3, 0.02  # a start waits so long for the bus at most, and so long for what its answer holds
 REPORT = 10.0  # seconds between two lines of counters
 LOOK, AT_ONCE = 0.1, 0.002  # seconds between two looks at what clients leave undone, and where more is due
+RESTART = (
+    "name",
+    "host",
+    "port",
+    "roles",
+    "sockets",
+    "clients",
+    "terms",
+    "fleet",
+)  # only a restart changes it
 COUNTERS = (
     "counts {counts}; cpu {cpu_ms} ms, {cpu_ms_a_download} a download; memory {memory_mb} MB at most; "
     "clients {clients} ({most_clients} at most), {parked} of them parked ({most_parked} at most), "
@@ -77,6 +88,8 @@
         signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
         try:
             self.start()
+            if early.hangups:  # the configuration may have been read before it was written anew
+                self.reload()
         except CannotListenError as wrong:  # of the fleet's port
             logger.error("cannot listen on {}:{}: {}", wrong.interface, wrong.port, wrong.socketError)
             self.reactor.stop()
@@ -132,13 +145,18 @@
             self.told = self.clock.now()
             logger.info("told to stop; {} downloads open", len(self.loop.downloads))
             self.timers.after(LINGER, self.end_if_done)
-            self.timers.after(LAST, self.loop.give_up_all)
+            self.timers.after(self.last(), self.loop.give_up_all)
+
+    def last(self) -> float:
+        """Seconds from SIGTERM to the moment in which what is still open is abandoned."""
+        return min(max(kind.expiry for kind in self.site.facts.types.values()), LONGEST) + LAST
 
     def reload(self) -> None:
         """SIGHUP: read the whole configuration anew, and go to the bus that it names.
 
+        What is taken from then on goes by the new settings, what is open by those under which it was taken.
         Guards against a file that is half written, broken or gone: it is logged, and the old one stays. What
-        else differs waits for a restart, since the decisions are told their facts once.
+        this process is (RESTART) waits for a restart, and in a fleet all but the bus does.
         """
         if self.again is None:
             return
@@ -149,13 +167,18 @@
             return
         if self.shared and site.fleet:
             self.shared.reload(site.fleet)
-        names = [field.name for field in fields(Site) if field.name != "fleet"]
+        names = [field.name for field in fields(Site) if field.name not in ("bus", "known", "offset", "seed")]
         other = [name for name in names if getattr(site, name) != getattr(self.site, name)]
-        waiting = [name for name in other if name not in ("bus", "known", "offset", "seed")]
+        waiting = [name for name in other if name in RESTART or (self.shared and name != "fleet")]
         logger.info(
             "new configuration, bus {}; only a restart will change: {}", site.bus, waiting or "nothing"
         )
         self.bus.move(site.bus)
+        if not self.shared:
+            bounds = replace(site.bounds, descriptors=self.site.bounds.descriptors)
+            stays = {name: getattr(self.site, name) for name in (*RESTART, "known", "offset", "seed")}
+            self.site = replace(site, bounds=bounds, **stays)
+            self.loop.settle(self.site)
 
     def end_if_done(self) -> None:
         """Looked at again and again, since what is done can come undone until the last moment.
@@ -166,8 +189,8 @@
         """
         assert self.told is not None
         now = self.clock.now()
-        self.listener.stop()
-        late = now > self.told + LAST + 0.1
+        stopped = self.listener.stop()
+        late = now > self.told + self.last() + 0.1
         if late or not (self.loop.downloads or self.listener.count()):
             self.report()
             logger.info("ends, {} downloads open", len(self.loop.downloads))
@@ -176,7 +199,7 @@
                 self.shared.stop()
             self.reactor.stop()
             return
-        if not self.loop.downloads and self.listener.quiet():
+        if stopped and not self.loop.downloads and self.listener.quiet():
             self.listener.close_some()
         self.timers.after(AT_ONCE if self.listener.parked() else 0.02, self.end_if_done)
 
@@ -226,6 +249,12 @@
     def fault(self, at: str) -> None:
         self.loop.show(at)
 
+    def heed(self, client: Client, unread: bool) -> None:
+        self.listener.heed(client, unread)
+
+    def later(self, delay: float, call: Callable[[], None]) -> None:
+        self.timers.after(delay, call)
+
     def welcome(self, host: str) -> bool:
         """Whether a client may connect: the fleet may have cast it out."""
         return not (self.shared and self.shared.bars(host))
@@ -273,7 +302,6 @@
 
 def serve(site: Site, again: Callable[[], Site]) -> bool:
     """Run one front in this process until it is told to end; false if it could not start."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a bus to move
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     least = site.sockets if most == resource.RLIM_INFINITY else min(site.sockets, most)
     resource.setrlimit(resource.RLIMIT_NOFILE, (least, most))
--- a/weldbend/front/loop.py
+++ b/weldbend/front/loop.py
@@ -37,6 +37,7 @@
     wish: words.Wish
     call: Call
     until: float
+    effect: face.Effect  # by the settings under which it was taken
     pulls: list[Pull] = field(default_factory=list)
     handed: list[float] = field(default_factory=list)
     timers: list[Timer] = field(default_factory=list)
@@ -112,7 +113,8 @@
         self.serial += 1
         call.serial = name = f"{self.serial:x}"
         until = self.clock.now() - call.waited + wish.wait
-        dl = self.downloads[name] = self.open[wish.name] = Download(name, wish, call, until)
+        effect = self.site.facts.types[wish.type].effect
+        dl = self.downloads[name] = self.open[wish.name] = Download(name, wish, call, until, effect)
         dl.timers.append(self.timers.at(until, lambda: self.guard(dl, self.expire)))
         self.counts["downloads"] += 1
         work, peers = wish.kb / self.site.flow, self.peers
@@ -198,6 +200,13 @@
         self.started &= self.listed
         self.leaving |= named - here | gone
 
+    def settle(self, site: Site) -> None:
+        """Go by another site from now on: its settings, not its place."""
+        facts, self.site = self.site.facts, site
+        self.pool.bounds = site.bounds
+        if site.facts != facts:
+            self.post(face.Changed(site.facts))
+
     # What the decisions want.
 
     def post(self, event: face.Event, first: bool = False) -> None:
@@ -207,7 +216,15 @@
             self.turning, now = True, self.clock.now()
             if now > self.rested + PAUSE:  # there was time to spare since the last turn
                 self.since = now
-            self.reactor.callLater(0, self.due)
+            self.reactor.callLater(0, self.heard)
+
+    def heard(self) -> None:
+        """One more look at the sockets, then the turn.
+
+        Guards caches against pulls for clients that ended or withdrew while this front was held up: a request
+        and what undoes it are read one after the other, each in a look of its own. Harm: a look a turn.
+        """
+        self.reactor.callLater(0, self.due)
 
     def due(self, held: bool = False) -> None:
         """A turn, unless decisions wait; what came meanwhile of caches and purges is then heard first."""
@@ -355,8 +372,9 @@
 
     def fleeting(self, dl: Download, action: face.SendPull) -> bool:
         """Whether what allows a pull may be over soon: a window for repeats, or a cold cache's budget."""
-        retriable = self.site.facts.types[dl.wish.type].effect is face.Effect.RETRIABLE
-        return bool(dl.pulls and not retriable) or not self.started.isdisjoint((action.cache, action.source))
+        return bool(dl.pulls and dl.effect is not face.Effect.RETRIABLE) or not self.started.isdisjoint(
+            (action.cache, action.source)
+        )
 
     def wake(self, token: str, name: str, number: int) -> None:
         """Tell the time that was asked for, and of the pull it is about whether its connection lives."""
@@ -388,8 +406,13 @@
         self.forget(dl)
 
     def close(self, dl: Download) -> None:
+        """Nothing more is begun for it: what waits for a connection is taken back, whatever the site lets
+        the decisions call off."""
         dl.closed = True
         self.open.pop(dl.wish.name, None)
+        for pull in dl.pulls:
+            if pull.waits():
+                self.call_off(dl, pull)
         self.forget(dl)
 
     def forget(self, dl: Download) -> None:
--- a/weldbend/front/site.py
+++ b/weldbend/front/site.py
@@ -90,6 +90,7 @@
             dial=caps["dial_timeout_us"] / 1e6,
             turn=TURN,
             descriptors=sockets - clients - RESERVE,
+            longest=max(kind.expiry for kind in facts.types.values()),
         ),
         sockets=sockets,
         clients=clients,
--- a/weldbend/lab/virtual/machines.py
+++ b/weldbend/lab/virtual/machines.py
@@ -121,6 +121,10 @@
         while self.queue and not self.resting:
             self.queue.popleft()()
 
+    def doRead(self) -> None:
+        while self.queue:
+            self.queue.popleft()()
+
     def stopListening(self) -> None:
         self.machine.world.ports.pop(self.address, None)
         self.queue.clear()
--- a/weldbend/parking/descriptors.py
+++ b/weldbend/parking/descriptors.py
@@ -7,15 +7,69 @@
 import os
 import select
 import socket
+from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from twisted.internet import tcp
+from twisted.internet.interfaces import IReadDescriptor
+from twisted.python.failure import Failure
+from zope.interface import implementer
 
 CHUNK = 1 << 14  # bytes of the first read after a wake; what is left comes through the transport
 READY = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
 NOTHING = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 
 
+@implementer(IReadDescriptor)
+class Hangups:
+    """Hears of the end of connections that are not read for now: behind what lies unread it would be hidden.
+
+    Guards caches against pulls for clients that have gone. Harm: one descriptor more, and none where no
+    connection rests.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+        self.poll: select.epoll | None = None
+        self.held: dict[int, Callable[[], None]] = {}  # by descriptor: whom to tell
+
+    def fileno(self) -> int:
+        return self.poll.fileno() if self.poll else -1
+
+    def logPrefix(self) -> str:
+        return "connections that are not read"
+
+    def heed(self, transport: Any, told: Callable[[], None]) -> None:
+        if type(transport) is not tcp.Server or not transport.connected:
+            return
+        if self.poll is None:
+            self.poll = select.epoll()
+            self.reactor.addReader(self)
+        self.poll.register(transport.fileno(), select.EPOLLRDHUP | select.EPOLLONESHOT)
+        self.held[transport.fileno()] = told
+
+    def drop(self, told: Callable[[], None]) -> None:
+        """Hear no more of it. A descriptor that was closed meanwhile has left the set by itself."""
+        for fd in [fd for fd, held in self.held.items() if held == told]:
+            del self.held[fd]
+            with suppress(OSError):
+                if self.poll:
+                    self.poll.unregister(fd)
+
+    def doRead(self) -> None:
+        for fd, _ in self.poll.poll(0) if self.poll else ():
+            if told := self.held.get(fd):
+                self.drop(told)
+                told()
+
+    def connectionLost(self, reason: Failure) -> None:
+        if self.poll:
+            self.reactor.removeReader(self)
+            self.poll.close()
+            self.poll = None
+
+
 class Descriptors:
     """Parked sockets as the system knows them; a descriptor is the number of a connection."""
 
--- a/weldbend/parking/rules.py
+++ b/weldbend/parking/rules.py
@@ -119,9 +119,12 @@
     return count >= most
 
 
-def quiet(calls: int, idle: bool, heard: float, now: float) -> bool:
-    """Whether nothing can be on its way: it never spoke, or has all its answers and is still."""
-    return not calls or (idle and now > heard + QUIET)
+def quiet(idle: bool, heard: float, now: float) -> bool:
+    """Whether nothing can be on its way: no part of a call is here, and none came or was answered lately.
+
+    Holds also for one that has just been accepted: its first call may lie unread.
+    """
+    return idle and now > heard + QUIET
 
 
 class Pace:
