Test the rest of the hard cases of endings by name

Need: each hard case that the acceptance issue names has a test: half an answer and the cache's close, the expiry or a withdrawal after it, for each effect; a burst of leavers with a reload and a stop among them; a connect that comes up after SIGTERM; a flood after the close; small writes; a repeat window shorter than the first pull's own time-out.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -631,3 +631,15 @@
     assert front.router.tier.out == 0
     front.end("d", Result.RESET, now=2.1)
     assert front.router.tier.out == 0, "its end is not counted a second time"
+
+
+def test_no_repeat_after_a_window_that_the_first_pulls_own_time_out_has_passed():
+    """The first pull is doubted after its target time, half a second: a mark of 0.3 s is forgotten."""
+    for window, pulls in ((0.3, 1), (3.0, 2)):
+        kinds = {"order": content("order", effect=Effect.DEDUPED, window=window, target=0.5)}
+        front = Front(types=kinds)
+        front.ask("a", now=1, type="order")
+        for now in (1.6, 2.3):
+            front.wake("a", now=now)
+        front.end("a", Result.RESET, now=2.4, pull=0)
+        assert sum(" look " in line or " fill " in line for line in front.trace) == pulls, front.trace
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -482,3 +482,111 @@
     assert ended == ["asked"]
     stage.turn(0.2)
     assert ended == ["asked", "let go"]
+
+
+@pytest.mark.parametrize("between", ["the cache's close", "the expiry", "a withdrawal"])
+@pytest.mark.parametrize("kind", ["photo", "order", "print"])
+def test_an_answer_in_two_pieces_with_an_end_between(between, kind):
+    """Half an answer is none: what may be repeated is, what may not is abandoned, and nobody hears twice."""
+    lanes = (
+        configuration().replace('"deduplicated"', '"at_most_once"') if kind == "print" else configuration()
+    )
+    stage = Stage()
+    stage.door.loop.settle(read_site(lanes))
+    client = stage.client()
+    wish = {} if kind == "photo" else {"class": "order", "once": "ab"}
+    stage.say(client, process(1, wait="2000", **wish))
+    stage.connect()
+    (uid, at), link = next(iter(stage.caches.items()))
+    text = b"%016x DONE - 5\r\nphoto\r\n" % 1
+    link.dataReceived(text[:-4])
+    stage.trace.clear()
+    if between == "the cache's close":
+        link.transport.loseConnection()
+    elif between == "the expiry":
+        stage.turn(2.1)
+    else:
+        client.dataReceived(give_up(1))
+    stage.turn()
+    if not link.lost:
+        link.dataReceived(text[-4:])
+    stage.connect()
+    stage.turn(0.05)
+    answers = [line for line in stage.trace if "client" in line]
+    again = [line for line in stage.trace if "< do" in line]
+    if between == "the cache's close":
+        assert (len(again), answers) == ((1, []) if kind != "print" else (0, ["client 0 < 1 abandoned"]))
+    else:
+        assert not again and len(answers) == (between == "the expiry"), stage.trace
+        assert not stage.door.loop.downloads
+    assert (uid, at) in stage.caches and "process" not in str(answers)
+
+
+def test_a_burst_of_clients_who_leave_together_with_a_reload_and_a_stop_among_them():
+    """Some close, some withdraw, some were answered; then nothing is owed to anybody, and it ends."""
+    stage = Stage(max_streams=4)
+    clients = [stage.client() for _ in range(60)]
+    for n, client in enumerate(clients, 1):
+        stage.say(client, process(n, key=f"{n:016x}"))
+    stage.connect()
+    answered = [n for link in stage.caches.values() for n in [int(name, 16) for name in link.out]][:10]
+    for (uid, at), link in list(stage.caches.items()):
+        for n in [n for n in answered if f"{n:016x}" in link.out]:
+            stage.answer(uid, n, "DONE", "-", b"ok", number=at)
+    for n, client in enumerate(clients, 1):
+        if n % 2:
+            client.dataReceived(give_up(n))  # of some that are answered as well
+        else:
+            client.transport.loseConnection()
+    stage.door.again = lambda: read_site(configuration(bus="127.0.0.1:9093", max_streams=4))
+    stage.door.reload()
+    stage.door.terminate()
+    stage.trace.clear()
+    stage.turn()
+    while stage.dials():
+        stage.connect()
+    loop = stage.door.loop
+    assert not any("< do" in line for line in stage.trace), stage.trace
+    assert not (loop.downloads or loop.open or loop.router.downloads)
+    assert not any(lane.waiting for lane in loop.pool.lanes.values())
+    for _ in range(90):
+        stage.turn(0.01)
+    assert stage.reactor.hasStopped
+
+
+def test_a_connect_that_comes_up_after_the_stop_was_told_still_serves_and_one_after_the_end_does_not():
+    stage = Stage()
+    client = stage.client()
+    stage.say(client, process(1))
+    stage.door.terminate()
+    stage.turn(0.3)
+    stage.connect()
+    stage.answer("e2", 1, "DONE", "-", b"photo")
+    assert stage.trace[-1] == "client 0 < 1 process: 'photo'"
+    stage.say(client, process(2, wait="300"))
+    stage.connect()
+    stage.turn(0.4)
+    stage.trace.clear()
+    stage.connect()
+    assert not any("< do" in line for line in stage.trace)
+
+
+def test_a_flood_after_the_close_is_cut_off(front):
+    """It is thrown away up to a bound, not for as long as it comes."""
+    _, address, _ = front
+    client = connect(address)
+    with pytest.raises(OSError):
+        for _ in range(2000):
+            client.sendall(b"\xff" * 65536)
+    client.close()
+    with ask(address, probe(1)) as other:
+        assert heard(other) == "1 probe: good True"
+
+
+def test_small_writes_are_held_back_by_nobody():
+    """The system would wait for more before it sends, and a reset would take along what it holds."""
+    stage = Stage()
+    client = stage.client()
+    stage.say(client, process(1))
+    stage.connect()
+    assert client.transport.no_delay and all(link.transport.no_delay for link in stage.caches.values())
