--- /dev/null
+++ b/tests/test_verdicts.py
@@ -0,0 +1,233 @@
+"""Verdicts of a fleet: who brings one about, how it ends, and how a cache comes back."""
+
+import pytest
+from loguru import logger
+
+from weldbend.fleet import verdicts
+from weldbend.fleet.evidence import Word
+from weldbend.fleet.terms import Limited
+from weldbend.fleet.verdicts import Court, Stand, cast_out, judged, started
+from weldbend.lab.fleet.fronts import QUICK, FleetRun, FleetSetup
+from weldbend.lab.virtual.audit import Auditor
+
+WELL, BAD = (9.0, 0.0), (1.0, 8.0)
+ZONES = {"a": "u", "b": "u", "c": "l", "d": "l"}
+
+
+def words(whole=(50.0, 0.0), **records):
+    return [Word(name, True, 0.5, record, tuple(map(sum, zip(whole, record, strict=True))))
+            for name, record in records.items()]  # fmt: skip
+
+
+def verdict(own="u", **records):
+    return judged(words(**records), ZONES, own)
+
+
+def test_one_front_alone_brings_no_verdict_about():
+    assert not verdict(a=BAD).bad
+    assert not verdict(a=BAD, b=WELL, c=WELL).bad
+    assert verdict(a=BAD, b=BAD).bad
+
+
+def test_most_of_those_that_know_have_to_accuse():
+    assert not verdict(a=BAD, b=WELL, c=BAD, d=WELL).bad, "two verdicts that contradict are none"
+    assert verdict(a=BAD, b=BAD, c=WELL).voices == ("a", "b")
+    assert not verdict(a=BAD, b=(0.5, 1.0), c=WELL, d=WELL).bad, "who tried once does not know"
+
+
+def test_one_whose_own_line_is_bad_is_not_heard():
+    said = [*words(whole=(2.0, 40.0), a=BAD, b=BAD), *words(c=WELL)]
+    assert not judged(said, ZONES, "u").bad
+
+
+def test_what_is_bad_for_one_zone_is_that_zones_verdict():
+    records = {"a": BAD, "b": BAD, "c": WELL, "d": WELL}
+    assert verdict("u", **records) == verdicts.Judged(True, ("a", "b"), "u")
+    assert not verdict("l", **records).bad
+    assert verdict("u", a=BAD, b=BAD, c=BAD, d=BAD).zone == ""
+
+
+KINDS = {f"e{n}": "EDGE" for n in range(1, 7)}
+
+
+def held(court, now, alive="bcd", **said):
+    return court.turn(now, said, KINDS, dict.fromkeys("abcd", "u"), alive)
+
+
+def trier_of(uid, round_, here="abcd"):
+    return max(here, key=lambda name: verdicts.rank(uid, round_, name))
+
+
+def test_a_verdict_ends_one_tries_and_the_others_follow_by_a_ramp():
+    courts = {name: Court(name) for name in "abcd"}
+
+    def turn(now, **said):
+        return {
+            n: held(c, now, "".join(o for o in "abcd" if o != n), **said).get("e1") for n, c in courts.items()
+        }
+
+    tries = trier_of("e1", 1)
+    assert set(turn(0.0, e1=words(a=BAD, b=BAD)).values()) == {0.0}
+    assert set(turn(1.9).values()) == {0.0}
+    trial = turn(2.0)
+    assert trial == {name: (verdicts.TRIES_WITH if name == tries else 0.0) for name in "abcd"}
+    turn(3.0, e1=words(**{tries: (1.0, 8.0)}))
+    assert turn(3.5, e1=words(**{tries: (1.0, 8.0)})) == trial, "what it holds from before is no outcome"
+    ramp = turn(4.0, e1=words(**{tries: (4.0, 7.0)}))
+    assert set(ramp.values()) == {verdicts.FIRST}
+    assert {round(part, 2) for part in turn(6.0).values()} == {0.55}
+    assert set(turn(8.0).values()) == {1.0}
+    assert courts["a"].cases["e1"].stand is Stand.OPEN
+    turn(80.0)
+    assert "e1" not in courts["a"].cases
+
+
+def test_a_relapse_makes_the_next_term_longer_and_a_failed_trial_is_one():
+    court = Court("a")
+    held(court, 0.0, e1=words(a=BAD, b=BAD))
+    case, terms = court.cases["e1"], [2.0]
+    for _ in range(7):
+        held(court, now := case.until)
+        for bad in (8.0, 11.0):
+            held(court, now := now + 0.5, e1=words(**{trier_of("e1", case.round): (1.0, bad)}))
+        assert case.stand is Stand.SHUT
+        terms.append(case.until - now)
+    assert terms[:3] == [2.0, 3.0, 4.5] and terms[-1] == verdicts.SHUT_MOST
+
+
+def test_where_who_tries_says_nothing_another_one_does():
+    court = Court("a")
+    held(court, 0.0, e1=words(a=BAD, b=BAD))
+    rounds = []
+    for step in range(5):
+        held(court, 2.0 + 5.0 * step)
+        rounds.append(court.cases["e1"].round)
+    assert rounds == [1, 2, 3, 4, 5]
+    assert len({trier_of("e1", round_) for round_ in rounds}) > 1
+
+
+def test_no_more_than_a_third_of_a_kind_is_shut():
+    court = Court("a")
+    found = held(court, 0.0, **{uid: words(a=BAD, b=BAD) for uid in KINDS})
+    assert len(found) == 2, "all failing at once is the site's trouble, not six caches'"
+    assert [change[:3] for change in court.said()] == [(u, Stand.OPEN, Stand.SHUT) for u in ("e1", "e2")]
+
+
+def test_a_client_is_cast_out_by_two_and_for_a_time():
+    assert cast_out({"10.0.0.9": [("a", 5.0)]}, 600.0, 6.0) == {}
+    assert cast_out({"10.0.0.9": [("a", 5.0), ("a", 9.0)]}, 600.0, 10.0) == {}, "one front, twice"
+    assert cast_out({"10.0.0.9": [("a", 5.0), ("b", 9.0)]}, 600.0, 10.0) == {"10.0.0.9": 609.0}
+    assert cast_out({"10.0.0.9": [("a", 5.0), ("b", 95.0)]}, 600.0, 100.0) == {}, "too far apart"
+    assert cast_out({"10.0.0.9": [("a", 5.0), ("b", 9.0)]}, 600.0, 610.0) == {}
+
+
+def test_a_start_that_no_list_tells_is_one_that_two_saw():
+    assert started({"e1": {"a": 5.0}}) == {}
+    assert started({"e1": {"a": 5.0, "b": 7.0}}) == {"e1": 7.0}
+    assert started({"e1": {"a": 5.0, "b": 17.0, "c": 16.0}}) == {"e1": 17.0}
+
+
+# In whole fronts.
+
+
+@pytest.fixture(autouse=True)
+def no_log():
+    logger.remove()
+
+
+class Failing:
+    """Makes some caches fail all they are asked, from some hosts or all, for a time."""
+
+    def __init__(self, run):
+        self.run, self.bad = run, set()
+        whole = run.boxes.do
+
+        def do(uid, *held):
+            if uid in self.bad:
+                raise KeyError(uid)
+            return whole(uid, *held)
+
+        run.boxes.do = do
+
+
+def play(verdicts_on, lasts=9.0, seed=1, **shape):
+    held = {
+        "faults": 0,
+        "between": 0,
+        "rate": 60.0,
+        "seconds": 30.0,
+        "calm": 0.0,
+        "orders": 0.0,
+        "edits": 0.0,
+    }
+    terms = QUICK.__class__(interval=0.2, timeout=0.08, alone=1.5, stalled=0.5, exchange=0.3,
+                            limits=Limited(verdicts=verdicts_on))  # fmt: skip
+    made = FleetRun(seed, FleetSetup(**held | {"edges": 6, "terms": terms} | shape))
+    made.failing = Failing(made)
+    made.world.plan(4.0, lambda: made.failing.bad.add("e1"))
+    made.world.plan(4.0 + lasts, lambda: made.failing.bad.clear())
+    made.result = made.play()
+    assert not made.result.breaches and not made.result.faults
+    return made
+
+
+def pulls(made, uid, since, until):
+    held = [pull for case in made.auditor.cases.values() for pull in case.pulls]
+    return sum(pull.cache == uid and since <= pull.at < until for pull in held)
+
+
+def test_a_bad_cache_is_tried_less_by_all_and_comes_back_by_a_ramp():
+    with_, without = play(True), play(False)
+    wasted, alone = pulls(with_, "e1", 4.0, 13.0), pulls(without, "e1", 4.0, 13.0)
+    assert wasted <= alone, (wasted, alone)
+    stands = [stand for made in with_.fronts.values() for stand in [made[1].shared.sharing.counts]]
+    assert all(counts["verdicts: shut"] >= 1 for counts in stands)
+    assert all(counts["verdicts: ramp"] >= 1 for counts in stands)
+    assert pulls(with_, "e1", 26.0, 30.0) > 0.5 * pulls(with_, "e1", 0.0, 4.0)
+
+
+def test_a_front_that_reaches_half_of_the_caches_casts_none_of_them_out():
+    def deaf(made):
+        hosts = {made.machines[uid].host for uid in ("e1", "e2", "e3")}
+        made.world.cut |= {(h, "10.0.0.1") for h in hosts} | {("10.0.0.1", h) for h in hosts}
+
+    held = {"faults": 0, "between": 0, "rate": 60.0, "seconds": 16.0, "calm": 0.0, "edges": 6}
+    made = FleetRun(2, FleetSetup(**held))
+    made.world.plan(3.0, lambda: deaf(made))
+    result = made.play()
+    assert not result.faults
+    for number in (2, 3, 4):
+        assert made.fronts[number][1].shared.sharing.counts["verdicts: shut"] == 0
+
+
+def test_a_client_that_walks_from_front_to_front_is_refused_by_the_third():
+    made = FleetRun(3, FleetSetup(faults=0, between=0, rate=10.0, seconds=12.0, calm=0.0))
+    for number, at in ((1, 3.0), (2, 5.0)):
+        made.world.plan(at, lambda n=number: made.fronts[n][1].cast_out("10.0.9.9"))
+    welcome = {}
+    for at in (4.0, 7.0):
+        made.world.plan(at, lambda at=at: welcome.update({at: made.fronts[3][1].welcome("10.0.9.9")}))
+    made.world.plan(8.0, lambda: made.fronts[4][1].shared.sharing.word_on("10.0.9.9", "pardon"))
+    made.world.plan(10.0, lambda: welcome.update({10.0: made.fronts[3][1].welcome("10.0.9.9")}))
+    made.world.plan(11.0, lambda: made.fronts[1][1].shared.sharing.word_on("10.0.9.8", "until 9999999999"))
+    made.world.plan(11.5, lambda: welcome.update({11.5: made.fronts[2][1].welcome("10.0.9.8")}))
+    assert not made.play().faults
+    assert welcome == {4.0: True, 7.0: False, 10.0: True, 11.5: False}
+
+
+def test_strict_rates_hold_for_the_whole_fleet_and_a_split():
+    limits = Limited(strict=(("photo", 30.0),), cold=False)
+    terms = QUICK.__class__(interval=0.2, timeout=0.08, alone=1.5, stalled=0.5, exchange=0.3, limits=limits)
+    shape = FleetSetup(
+        faults=0, between=0, rate=60.0, seconds=20.0, calm=0.0, orders=0.0, edits=0.0, terms=terms
+    )
+    made = FleetRun(4, shape)
+    made.world.plan(12.0, lambda: made.split({1, 2}, 6.0))
+    result = made.play()
+    assert not result.breaches and not result.faults
+    moments = sorted(
+        case.pulls[0].at for case in made.auditor.cases.values() if case.pulls and case.type == "photo"
+    )
+    worst = max(sum(at - 1.0 < other <= at for other in moments) for at in moments)
+    assert 20 <= worst <= 30, worst
+    assert result.counts["throttled"] > 300 and isinstance(made.auditor, Auditor)
--- a/weldbend/fleet/copies.py
+++ b/weldbend/fleet/copies.py
@@ -260,11 +260,14 @@
                     return found
         return found
 
-    def digest(self, now: float, margin: float = 0.0) -> int:
-        """A checksum over all that counts for at least so long still; the same wherever the same is held."""
+    def digest(self, now: float, margin: float = 0.0, strict: bool = False) -> int:
+        """A checksum over all that counts for at least so long still; the same wherever the same is held.
+
+        `strict`: only over what a rule rests on, as people ask for it: the rest changes every second.
+        """
         total = 0
         for (kind, key), item in self.items.items():
-            if now < item.said + RULES[kind].keep - margin:
+            if now < item.said + RULES[kind].keep - margin and (RULES[kind].strict or not strict):
                 text = repr((kind, key, item.value)).encode()
                 total ^= int.from_bytes(blake2b(text, digest_size=6).digest(), "big")
         return total
--- a/weldbend/fleet/evidence.py
+++ b/weldbend/fleet/evidence.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 SPAN = 10.0  # seconds that a record covers; a word older than that counts for nothing
-AGAIN = 3.0  # seconds after which what has not changed is said again
+AGAIN, ACCUSED = 3.0, 0.9  # seconds after which the same is said again; of what others accuse
 MOST = 4.0  # answers that one writer's word counts for at most
 ABROAD = 0.5  # what the word of a front in another zone counts: its path is another
 LEAST = 0.5  # bad answers below which nothing is doubted
@@ -37,21 +37,28 @@
         held = {uid: (round(good, 1), round(bad, 1)) for uid, (good, bad) in record.items()}
         told = {uid for uid, (_, what) in self.said.items() if what[1]}
         told |= {uid for uid in accused if sum(held.get(uid, (0.0, 0.0)))}
-        due = [uid for uid in held if (held[uid][1] or uid in told) and self.news(uid, held[uid], now)]
+        accused = set(accused)
+        due = [
+            uid
+            for uid in held
+            if (held[uid][1] or uid in told)
+            and self.news(uid, held[uid], now, ACCUSED if uid in accused else AGAIN)
+        ]
         due.sort(key=lambda uid: held[uid][1], reverse=True)
         found = [(uid, held[uid]) for uid in due[:MOST_WORDS]]
         whole = round(sum(g for g, _ in held.values()), 1), round(sum(b for _, b in held.values()), 1)
-        if (found or accused or any(bad for _, bad in held.values())) and self.news(ALL, whole, now):
+        speaks = found or accused or any(bad for _, bad in held.values())
+        if speaks and self.news(ALL, whole, now, AGAIN):
             found.append((ALL, whole))
         self.said |= {uid: (now, what) for uid, what in found}
         for uid in [uid for uid in self.said if uid not in held and uid != ALL]:
             del self.said[uid]
         return found
 
-    def news(self, uid: str, what: Record, now: float) -> bool:
+    def news(self, uid: str, what: Record, now: float, again: float) -> bool:
         at, before = self.said.get(uid, (-SPAN, (0.0, 0.0)))
         moved = abs(what[1] - before[1]) >= max(1.0, 0.2 * before[1])
-        return moved or (what[1] > 0) != (before[1] > 0) or now - at >= AGAIN
+        return moved or (what[1] > 0) != (before[1] > 0) or now - at >= again
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldbend/fleet/service.py
+++ b/weldbend/fleet/service.py
@@ -296,7 +296,7 @@
                 for one in view.members
             ],
             "items": len(self.copies.items),
-            "digest": f"{self.copies.digest(now):012x}",
+            "digest": f"{self.copies.digest(now, 1.0, True):012x}",
             "vector": self.copies.vector(),
             "dropped": dict(self.sealer.dropped),
             "counts": dict(self.members.counts + self.exchange.counts + self.counts + self.links.counts),
--- a/weldbend/fleet/verdicts.py
+++ b/weldbend/fleet/verdicts.py
@@ -6,8 +6,9 @@
 stand in one zone and others do well, the verdict is that zone's: its path may be what is bad.
 
 A verdict has an end. After it one front tries, drawn alike by all; when it says that all went well, the
-others follow by a ramp, so that what has just recovered is not met by everybody at once. A relapse doubles
-the next term. Evidence older than its bound counts for nothing, so a verdict that nobody can renew ends.
+others follow by a ramp, so that what has just recovered is not met by everybody at once. A relapse makes the
+next term half as long again. Evidence older than its bound counts for nothing, so a verdict that nobody can
+renew ends.
 """
 
 import math
@@ -23,11 +24,12 @@
 ACCUSED = 0.5  # share of bad answers from which a front accuses
 TRIED = 2.0  # answers, good and bad, from which a front knows a cache
 TRUSTED = 0.3  # credit below which a front's own line is held to be the trouble
-SHUT, SHUT_MOST = 5.0, 60.0  # seconds of a verdict, and of one that has relapsed often
+SHUT, GROWS, SHUT_MOST = 2.0, 1.5, 15.0  # seconds of a verdict, how it grows with relapses, and at most
 TRIAL = 5.0  # seconds in which the one that tries has to tell
-TRIES = 3.0  # good answers that end a trial well
-RAMP = 5.0  # seconds in which the others come back
-FIRST = 0.1  # part of its work that a cache gets when they begin, and while one tries
+TRIES, FAILS = 3.0, 2.0  # new good answers that end a trial well, and new bad ones that end it otherwise
+RAMP = 4.0  # seconds in which the others come back
+FIRST = 0.1  # part of its work that a cache gets when they begin
+TRIES_WITH = 0.5  # and from the one that tries, of its own
 FORGIVEN = 60.0  # seconds after which a relapse is a first fall again
 AT_ONCE = 1 / 3  # of the caches of a kind that may be shut together: more is the site's own trouble
 CAST = 60.0  # seconds within which two fronts must have cast a client out
@@ -50,6 +52,8 @@
     until: float = math.inf
     relapses: int = 0
     round: int = 0
+    heard: tuple[float, float] | None = None  # of the one that tries: the record in its last word
+    tried: tuple[float, float] = (0.0, 0.0)  # and by how much it has grown since, good and bad
     voices: tuple[str, ...] = ()  # who accused, when it was shut
     zone: str = ""  # of which the verdict is; none: of all
 
@@ -148,21 +152,31 @@
                 self.stands(uid, case, Stand.TRIAL, now, now + TRIAL)
             case Stand.TRIAL:
                 trier = self.trier(uid, case, here, zones)
-                told = next((word for word in said if word.writer == trier and word.age < TRIAL), None)
-                if told and told.record[0] >= TRIES and not accuses(told):
+                self.follow(case, next((word for word in said if word.writer == trier), None))
+                good, bad = case.tried
+                if good >= TRIES and good > 2 * bad:
                     self.stands(uid, case, Stand.RAMP, now, now + RAMP)
-                elif told and told.record[1] >= 2 and accuses(told):
+                elif bad >= FAILS:
                     self.shut(uid, case, now, Judged(True, case.voices, case.zone))
                 elif now >= case.until:
-                    case.round += 1
-                    case.until = now + TRIAL
+                    case.round, case.until = case.round + 1, now + TRIAL
+                    case.heard, case.tried = None, (0.0, 0.0)
             case Stand.RAMP if verdict.bad:
                 self.shut(uid, case, now, verdict)
             case Stand.RAMP if now >= case.until:
                 self.stands(uid, case, Stand.OPEN, now, math.inf)
 
+    def follow(self, case: Case, told: Word | None) -> None:
+        """What is new in the record of the one that tries: what it holds from before counts for nothing."""
+        if told is None:
+            return
+        if case.heard is not None:
+            grown = (max(a - b, 0.0) for a, b in zip(told.record, case.heard, strict=True))
+            case.tried = case.tried[0] + next(grown), case.tried[1] + next(grown)
+        case.heard = told.record
+
     def shut(self, uid: str, case: Case, now: float, verdict: Judged) -> None:
-        term = min(SHUT * 2**case.relapses, SHUT_MOST)
+        term = min(SHUT * GROWS**case.relapses, SHUT_MOST)
         case.relapses = min(case.relapses + 1, 8)
         case.voices, case.zone, case.round = verdict.voices, verdict.zone, case.round + 1
         self.stands(uid, case, Stand.SHUT, now, now + term)
@@ -170,6 +184,7 @@
     def stands(self, uid: str, case: Case, stand: Stand, now: float, until: float) -> None:
         self.changes.append((uid, case.stand, stand, case))
         case.stand, case.since, case.until = stand, now, until
+        case.heard, case.tried = None, (0.0, 0.0)
 
     def trier(self, uid: str, case: Case, here: list[str], zones: Mapping[str, str]) -> str:
         """The one front that tries in this round: drawn alike by all that hold the verdict."""
@@ -181,7 +196,7 @@
             case Stand.SHUT:
                 return 0.0
             case Stand.TRIAL:
-                return FIRST if self.trier(uid, case, here, zones) == self.name else 0.0
+                return TRIES_WITH if self.trier(uid, case, here, zones) == self.name else 0.0
             case Stand.RAMP:
                 return min(1.0, FIRST + (1 - FIRST) * (now - case.since) / RAMP)
         return 1.0
