Test that changed facts hold for what comes, and that what was sent counts on

Need: settings that change on SIGHUP are taken by the decisions; only the content types had a test.

Change: one test of the decisions: a type goes and one comes, a window and a number of fronts change, downloads are open meanwhile.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,6 +1,8 @@
 """What the module decides, as short traces."""
 
-from fronts import CACHES, Front, content, entry
+from dataclasses import replace
+
+from fronts import CACHES, SITE, Front, content, entry
 
 from weldbend import interface as face
 from weldbend.interface import Effect, Hint, Phase, Result, Role, Scope
@@ -643,3 +645,28 @@
             front.wake("a", now=now)
         front.end("a", Result.RESET, now=2.4, pull=0)
         assert sum(" look " in line or " fill " in line for line in front.trace) == pulls, front.trace
+
+
+def test_changed_facts_hold_for_what_comes_and_what_was_sent_counts_on():
+    """A content type goes and one comes, a window and a number of fronts change, downloads are open."""
+    front = Front((entry(1, started=2.0), CACHES[-1]))
+    for n in range(9):
+        front.ask(f"d{n}", f"k{n}", now=3 + n / 100)
+    assert len(front.pulls) == 8, "the share of a cold cache is used up"
+    facts = replace(SITE, types={"clip": content("clip", target=0.2)}, cold_window=3.0, zone_fronts=3)
+    front.at(3.5, face.Changed(facts))
+    cache = front.router.caches[1]
+    assert front.router.gate.sent[cache].total(3.5) == 4.0 and cache.sharers == 3
+    for n in range(8):
+        front.ask(f"new{n}", f"new{n}", now=3.5, type="clip")
+    sent = [name for name in front.pulls if "new" in name]
+    assert len(sent) == 4, "of 4.8 in the new window, 4.0 were sent before"
+    front.end("d0", Result.FULFILLED, now=3.6)  # of the type that is gone
+    front.ask("late", "k", now=6.7, type="clip")
+    assert "late" in front.pulls and set(front.router.facts.types) == {"clip"}
+    front.at(7.0, face.Changed(SITE))
+    assert {name for name, _ in front.router.pace} == {"photo", "clip"}, "one of each is still open"
+    for name in ("late", *sent, *(f"d{n}" for n in range(1, 8))):
+        front.end(name, Result.FULFILLED, now=7.1)
+    front.at(7.2, face.Changed(facts))
+    assert {name for name, _ in front.router.pace} == {"clip"} == set(front.router.mean)
