Start a front of the laboratory again once its end is noticed, not never

Ruled out: ports taken, memory, the front.

Change: one that was told to end is started again once it has. The program of run is not touched.

Tests: kill and start in one write, so that the start is always read first; it failed before.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,5 +1,6 @@
 """Several fronts as processes of one fleet, with faults between them. Waits have a bound."""
 
+import json
 import time
 
 import pytest
@@ -136,3 +137,12 @@
         fleet.until(fleet.alike, 20)
     finally:
         fleet.stop()
+
+
+def test_a_start_told_before_an_end_is_noticed_is_not_passed_over(fleet):
+    """Both in one write to the laboratory: it reads the start before it can hear of the end."""
+    deeds = [{"do": "kill", "who": "n1"}, {"do": "start", "who": "n1"}]
+    before = fleet.status("n1")["epoch"]
+    fleet.lab.stdin.write("".join(json.dumps(deed) + "\n" for deed in deeds))
+    fleet.lab.stdin.flush()
+    fleet.until(lambda: fleet.answers("n1") and fleet.status("n1")["epoch"] != before)
--- a/weldbend/lab/fleet/processes.py
+++ b/weldbend/lab/fleet/processes.py
@@ -163,6 +163,7 @@
         self.running: dict[int, Any] = {}
         self.paths: dict[int, Path] = {}
         self.stopped: set[int] = set()  # by SIGSTOP
+        self.ending: set[int] = set()  # told to end, and not noticed to have
         self.over = False
         self.ready: Callable[[int], None] = lambda number: None
         self.fronts = [""] * shape.fronts
@@ -226,7 +227,15 @@
         self.network.worse[kind].update(dict.fromkeys(ways, much))
 
     def start(self, number: int, ahead: float = 0.0, program: str | None = None) -> None:
-        if number in self.running or self.over:
+        """One that was told to end is started again once it has; nothing where it goes on running.
+
+        Guards plans against a start told when the end is not noticed yet: it would be passed over.
+        """
+        if self.over:
+            return
+        if number in self.running:
+            if number in self.ending:
+                self.later(0.02, lambda: self.start(number, ahead, program))
             return
         log = (self.folder / f"n{number}.log").open("ab")
         command = [
@@ -246,12 +255,15 @@
     def ended(self, number: int, code: int) -> None:
         self.running.pop(number, None)
         self.stopped.discard(number)
+        self.ending.discard(number)
         self.event(front=f"n{number}", ended=code)
 
     def signal(self, number: int, name: str) -> None:
         """By its short name, such as KILL; nothing where that front is not running."""
         if process := self.running.get(number):
             process.signalProcess(getattr(signal, f"SIG{name}"))
+            if name in ("KILL", "TERM"):
+                self.ending.add(number)
 
     def kill(self, number: int) -> None:
         self.signal(number, "KILL")
