--- a/weldbend/lab/fleet/processes.py
+++ b/weldbend/lab/fleet/processes.py
@@ -5,7 +5,9 @@
 from the run's seed. Front and event bus have a way of their own.
 """
 
+import contextlib
 import json
+import os
 import random
 import signal
 import socket
@@ -26,6 +28,7 @@
 from weldbend.lab.fault.proxy import Proxy, Side
 from weldbend.lab.fleet.play import Ways
 
+PORTS = 10_000, 30_000  # first and last that are tried: the system gives later ones to whoever connects
 BUS = 0  # the number under which the bus stands among the fronts
 TERMS = """interval = 200 ms
 timeout = 80 ms
@@ -177,14 +180,21 @@
         self.bus_port = bus
 
     def spare(self) -> int:
-        """A port that is free now, and that is given once."""
-        while True:
-            with socket.socket() as held:
-                held.bind((LOOPBACK, 0))
-                port = int(held.getsockname()[1])
+        """A port that is free now, and that is given once.
+
+        Guards against losing it before its front listens: it is none of those that the system gives to
+        whoever connects. Harm: two laboratories at once may try the same; the later one takes the next.
+        """
+        first, last = PORTS
+        begin = os.getpid() * 97 % (last - first)
+        for step in range(last - first):
+            port = first + (begin + step) % (last - first)
             if port not in self.given:
                 self.given.add(port)
-                return port
+                with socket.socket() as held, contextlib.suppress(OSError):
+                    held.bind((LOOPBACK, port))
+                    return port
+        raise OSError("no port is free")
 
     def way(self, one: int, other: int, port: int) -> int:
         """A port at which `one` reaches `other`, which listens at `port`."""
