--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -400,7 +400,7 @@
     stage.connect()
     stage.door.terminate()
     stage.turn(0.95)
-    stage.say(stage.client(), process(2)[:50])  # half a call keeps it from ending in quiet
+    stage.say(stage.client(), probe(7), process(2)[:50])  # half a call keeps it from ending in quiet
     for _ in range(60):
         stage.turn(0.01)
     assert stage.reactor.hasStopped
