Connect for attempts that later requests have overtaken at a full connection

What callers saw: requests that wait at a reachable cache were rejected or late. Their attempts waited for the connect timeout (0.4 s in the tests), ended as unreachable, counted as a failure of the cache, and were given up if no other cache could be used. In tests/test_process.py a second client's 32 requests got no connection at all ("TimeoutError in cache.accept").

Cause: a connection is established, and in the same poll requests of another client are due for routing. The router runs before `_send_waiting_now`, so the new attempts take all streams. `_send_waiting_now` then stopped at the full connection. The connect that the waiting attempts had asked for was used up, and nobody asked for another.

The rule is stated once, `EndpointConnections.has_stranded_attempts`; virtual runs check it after every event. They never reached the state, as each event was handled alone; a machine may now poll its sockets at intervals, as a busy process does.

Why this works: after the loop, `_connect` starts as many connects as the attempts that still wait need, under the same limits as for a new attempt; with none waiting it does nothing.

--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -11,6 +11,7 @@
 
 from weldbend.caches.attempt import AttemptLoss
 from weldbend.caches.connection import CacheConnection
+from weldbend.caches.endpoint_connections import EndpointConnections
 from weldbend.clients.connection import ClientConnection
 from weldbend.front import request_codec
 from weldbend.front.attempts import AttemptManager
@@ -212,3 +213,41 @@
             assert violations[0].proof and rule in str(violations[0])
             return
     raise AssertionError(f"{sabotage.__name__} was not detected within {len(SEEDS)} seeds")
+
+
+# Few attempts per connection, so that connections are full, and several sockets read in one poll, so that
+# requests overtake the attempts that wait for a connection. `WaitingAudit` checks these runs.
+FULL_CONNECTIONS = RunSettings(
+    seconds=4.0,
+    fronts=1,
+    edges=2,
+    parents=1,
+    rate=200.0,
+    connection_faults=0,
+    max_streams=2,
+    poll_interval=0.005,
+)
+
+
+def sends_waiting_attempts_without_connecting(monkeypatch):
+    def wrap(send_waiting_now):
+        def without_connects(self):
+            self._connect = lambda minimum=0: None
+            send_waiting_now(self)
+            del self._connect
+
+        return without_connects
+
+    patch_with_wrapper(monkeypatch, EndpointConnections, "_send_waiting_now", wrap)
+
+
+def test_no_attempt_waits_at_a_cache_without_a_connect_under_way():
+    for seed in SEEDS:
+        assert not Run(seed, FULL_CONNECTIONS).play().errors, seed
+
+
+def test_attempts_that_wait_without_a_connect_under_way_are_detected(monkeypatch):
+    sends_waiting_attempts_without_connecting(monkeypatch)
+    for seed in SEEDS:
+        errors = Run(seed, FULL_CONNECTIONS).play().errors
+        assert any("no connection is being opened" in error for error in errors), seed
--- a/weldbend/caches/connection_limiter.py
+++ b/weldbend/caches/connection_limiter.py
@@ -139,6 +139,14 @@
         """Remove a cache from the queue."""
         self.queue.pop(endpoint, None)
 
+    def is_stalled(self) -> bool:
+        """Return whether a queued cache could be admitted, or a connection evicted, and neither is scheduled.
+
+        This must be false whenever the event loop is idle.
+        """
+        can_evict = bool(self.idle) and len(self._evicting) < len(self.queue)
+        return bool(self.queue) and not self._is_scheduled and (self.is_below_limit() or can_evict)
+
     def _schedule_processing(self) -> None:
         """Schedule processing of the queue after the current call has returned to the reactor."""
         if self.queue and not self._is_scheduled:
--- a/weldbend/caches/endpoint_connections.py
+++ b/weldbend/caches/endpoint_connections.py
@@ -212,9 +212,24 @@
                 self.waiting.popleft()
             else:
                 break
+        self._connect()
         self._waiting_changed()
         self._mark_connections_idle()
 
+    def has_stranded_attempts(self) -> bool:
+        """Return whether attempts wait here without anything under way that will send or end them early.
+
+        This must be false whenever the event loop is idle. While attempts wait, they are either about to be
+        sent or enough connects are pending for all of them; a connect that may not be started yet is replaced
+        by the running backoff or by a place in the limiter's queue, and the limiter must not be idle while it
+        could admit that place.
+        """
+        if not self.waiting or self.is_closed or self.is_send_scheduled or self.backoff.is_retry_scheduled:
+            return False
+        if self in self.pool.limiter.queue:
+            return self.pool.limiter.is_stalled()
+        return len(self.connecting) * self.max_streams < len(self.waiting)
+
     def _mark_connections_idle(self) -> None:
         """Make idle connections available for eviction in favour of other caches."""
         for connection in self.connections:
--- a/weldbend/testbed/simulation/event_queue.py
+++ b/weldbend/testbed/simulation/event_queue.py
@@ -30,10 +30,15 @@
 
 
 class EventQueue:
-    """Clock and event queue of a run. Times are seconds since the virtual start."""
+    """Clock and event queue of a run. Times are seconds since the virtual start.
+
+    Attributes:
+        after_call: Function called after each scheduled call.
+    """
 
     def __init__(self) -> None:
         self.now = 0.0
+        self.after_call: Callable[[], None] = lambda: None
         self._sequence = itertools.count()
         self._heap: list[tuple[float, int, DelayedCall]] = []
 
@@ -55,4 +60,5 @@
             delayed.call = None
             if call:
                 call()
+                self.after_call()
         self.now = until
--- a/weldbend/testbed/simulation/machine.py
+++ b/weldbend/testbed/simulation/machine.py
@@ -3,6 +3,7 @@
 A machine that is killed runs no more calls, and its peers see its connections reset, as on a real network.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,8 @@
 from weldbend.testbed.simulation.network import AddressTakenError, VirtualNetwork
 from weldbend.testbed.simulation.transports import Transport
 
+POLL_TOLERANCE = 1e-6  # fraction of a poll interval by which a moment may miss a poll through rounding
+
 
 class FakeSocket:
     """Socket whose options have no effect."""
@@ -179,14 +182,20 @@
 
 
 class Machine:
-    """Reactor of one process; `host` is its address."""
+    """Reactor of one process; `host` is its address.
+
+    By default, each call and each arrival of bytes is an event of its own. With a `poll_interval`, the
+    process polls its sockets at multiples of this time in seconds, as a busy one does: calls and arrivals
+    since the last poll are handled together, and a call without delay is made at the next poll.
+    """
 
     running = True
 
-    def __init__(self, network: VirtualNetwork, name: str, host: str) -> None:
+    def __init__(self, network: VirtualNetwork, name: str, host: str, poll_interval: float = 0.0) -> None:
         self.network = network
         self.name = name
         self.host = host
+        self.poll_interval = poll_interval
         self.transports = dict[Transport, None]()
         self.is_alive = True
         self.is_stopped = False
@@ -203,7 +212,15 @@
         self, delay: float, call: Callable[..., object], *args: object, **kwargs: object
     ) -> DelayedCall:
         """Schedule a call after `delay` seconds; it is skipped if the machine is dead by then."""
-        return self.network.events.schedule(delay, lambda: self.run_guarded(call, *args, **kwargs))
+        due_in = self._delay_to_poll(delay) if self.poll_interval else delay
+        return self.network.events.schedule(due_in, lambda: self.run_guarded(call, *args, **kwargs))
+
+    def _delay_to_poll(self, delay: float) -> float:
+        """Return the seconds until the first poll that comes after the present one and after `delay`."""
+        now = self.network.events.now
+        next_poll = math.floor(now / self.poll_interval + POLL_TOLERANCE) + 1
+        due_poll = math.ceil((now + delay) / self.poll_interval - POLL_TOLERANCE)
+        return max(next_poll, due_poll) * self.poll_interval - now
 
     def callFromThread(self, call: Callable[..., object], *args: object) -> None:
         """Schedule a call as a later event; there are no threads."""
--- a/weldbend/testbed/simulation/network.py
+++ b/weldbend/testbed/simulation/network.py
@@ -51,7 +51,7 @@
         self.on_connection: Callable[[Transport, Transport], None] = (
             lambda connecting_end, accepting_end: None
         )
-        self.errors: list[str] = []  # exceptions raised by protocols; a real reactor would log them
+        self.errors: list[str] = []  # exceptions raised by protocols, and stranded attempts
         self.connection_numbers = itertools.count(1)
         self._digest = hashlib.sha256()
 
--- a/weldbend/testbed/simulation/run.py
+++ b/weldbend/testbed/simulation/run.py
@@ -18,6 +18,7 @@
 from weldbend.testbed.simulation.site import RunContext, SimulatedSite
 from weldbend.testbed.simulation.site_faults import SiteFaults
 from weldbend.testbed.simulation.virtual_clock import VirtualClock
+from weldbend.testbed.simulation.waiting_audit import WaitingAudit
 from weldbend.testbed.simulation.workload import CONNECTIONS_PER_FRONT, Workload
 
 
@@ -29,7 +30,7 @@
     violations: list[Violation]
     counts: dict[str, int]  # numbers of requests, attempts and outcomes, by name
     log: list[str] = field(repr=False)
-    errors: list[str]  # exceptions raised by protocols
+    errors: list[str]  # exceptions raised by protocols, and stranded attempts
     injected: dict[str, int] = field(default_factory=dict)  # number of injections, by fault of the plan
     divergences: list[str] = field(default_factory=list)  # differences between replicas at the end
     byte_digest: str = ""  # of raw bytes and their times; independent of names in the code
@@ -63,6 +64,7 @@
         self.shutdowns = FrontShutdowns(context, self.site)
         self.clock_steps = ClockSteps(context, self.site)
         self.observation = Observation(context, self.site, self.injector)
+        self.events.after_call = WaitingAudit(context, self.site).check
 
     def create_front(self, machine: Machine, site: Site) -> Front:
         """Create a front without starting it."""
--- a/weldbend/testbed/simulation/settings.py
+++ b/weldbend/testbed/simulation/settings.py
@@ -73,6 +73,8 @@
     faults: int = 6  # number of site faults
     weight: float = 8.0  # number of flows that a cache's link carries, as stated in the endpoint list
     fault_kinds: tuple[str, ...] = ("restart", "drain", "purge", "vanish", "reset", "front", "bus")
+    max_streams: int = 32  # attempts in flight on one connection to a cache
+    poll_interval: float = 0.0  # time between two polls of a front's sockets; 0: each event is handled alone
     objects: int = 120
     edge_capacity: int = 4 << 20  # bytes
     settling: float = 10.0  # time without load at the end, so that each request gets its answer
--- a/weldbend/testbed/simulation/site.py
+++ b/weldbend/testbed/simulation/site.py
@@ -202,7 +202,8 @@
 
     def start_front(self, number: int) -> None:
         """Start a front, configured with the current endpoint list and events."""
-        machine = Machine(self.network, front_name(number), front_host(number))
+        poll_interval = self.context.settings.poll_interval
+        machine = Machine(self.network, front_name(number), front_host(number), poll_interval)
         front = self.create_front(machine, read_site(self._configuration(machine, number)))
         front.listener.epoll_set_factory = NoEpollSet  # type: ignore[assignment]  # the class is the factory
         self.fronts[number] = machine, front
@@ -217,7 +218,8 @@
             "older_by_us": [0, 0, 0],
             "pass_on": [False, True, True],
         }
-        settings = SETTINGS | {"siblings": count, "family_info": family}
+        caps = SETTINGS["caps"] | {"max_streams": self.context.settings.max_streams}
+        settings = SETTINGS | {"siblings": count, "family_info": family, "caps": caps}
         settings["lanes"] = [*SETTINGS["lanes"], EDIT_CLASS]
         text = configuration(
             list(self.targets.values()),
--- a/weldbend/testbed/simulation/transports.py
+++ b/weldbend/testbed/simulation/transports.py
@@ -232,7 +232,10 @@
             self.delayed_pieces.append(piece)
             return
         self.received_pieces.append(piece)
-        self.deliver()
+        if self.machine.poll_interval:
+            self.machine.callLater(0, self.deliver)
+        else:
+            self.deliver()
 
     def deliver_delayed(self) -> None:
         """Receive the pieces held back on a blocked path, if it is open again."""
