Queue a connect that is retried at the limit on connections after a local fault

What callers saw: an attempt whose connect failed for lack of ports, buffers or descriptors waited its whole time and was given up, although another cache's connection became idle meanwhile and could have made room for it. Only at the limit on connections to caches.

After a backoff `_connect_again` called `_connect(minimum=1)` if the cache had no connection. With a minimum, `_connect` does not enter the limiter's queue (the connect serves only as evidence); at the limit it did nothing, and no timer, queue or connect was left for the attempts that waited.

Evidence: the new test failed before the change at `has_stranded_attempts`; with that line left out it failed at its end, as the attempt had no connection after another cache's connection had become idle.

Why this works: the connect for waiting attempts comes first and joins the queue; the connect for evidence follows only if none was started.

--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -6,6 +6,7 @@
 0.4 s (CONNECT_TIMEOUT) for a connection.
 """
 
+import errno
 import math
 import random
 from dataclasses import replace
@@ -13,12 +14,13 @@
 
 import pytest
 from fronts import FrontHarness, process
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import ConnectError, ConnectionDone, ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
 from weldbend.cache_protocol.answers import Answer
 from weldbend.caches.attempt import Attempt, AttemptLoss
+from weldbend.caches.connect_backoff import MAX_DELAY
 from weldbend.caches.limits import CacheLimits
 from weldbend.caches.pool import CachePool
 from weldbend.front import configuration
@@ -199,6 +201,23 @@
     assert harness.outcomes["d"] == "DONE" and harness.descriptor_count() == 2
 
 
+def test_a_connect_that_is_retried_at_the_limit_after_a_local_fault_joins_the_queue():
+    """Between the fault and the retry, another cache takes the last permitted connection."""
+    harness = PoolHarness()
+    harness.send(1, "first")
+    harness.complete_connects()
+    harness.send(3, "waiting")
+    (connector,) = harness.pending_connects()
+    connector.clientConnectionFailed(None, Failure(ConnectError(errno.EADDRNOTAVAIL, "injected")))
+    harness.send(2, "last")
+    harness.complete_connects()
+    harness.advance(MAX_DELAY)  # the backoff ends
+    assert not harness.pool.endpoints[3].has_stranded_attempts()
+    harness.answer("first")
+    harness.complete_connects()
+    assert harness.attempts["waiting"].connection and "waiting" not in harness.outcomes
+
+
 @pytest.mark.parametrize("in_transit", ["a cancellation", "a health check", "a part of an answer"])
 def test_a_connection_with_data_in_transit_is_not_closed_to_make_room(in_transit):
     """After a cancellation or a health check, the cache's answer may still arrive.
--- a/weldbend/caches/endpoint_connections.py
+++ b/weldbend/caches/endpoint_connections.py
@@ -329,7 +329,9 @@
         """
         self.backoff.is_retry_scheduled = False
         is_recent = self.pool.timers.now() < self.backoff.first_fault_at + self.pool.limits.connect_timeout
-        self._connect(minimum=1 if is_recent and not self.connections else 0)
+        self._connect()
+        if is_recent and not self.connections:
+            self._connect(minimum=1)
 
     def connect_when_admitted(self) -> None:
         """Start one connect if it is still needed; if more are needed, queue again."""
