Let the testbed ask the pool for stranded attempts, as its layer may not import caches

Change: `CachePool.stranded_attempts` gives the number of stranded attempts by cache, and the audit needs no class of that package.

--- a/weldbend/caches/pool.py
+++ b/weldbend/caches/pool.py
@@ -99,6 +99,11 @@
         self.waiting_endpoints.pop(endpoint, None)
         self.limiter.withdraw(endpoint)
 
+    def stranded_attempts(self) -> dict[int, int]:
+        """Return the number of attempts that wait in vain, by cache; see `has_stranded_attempts`."""
+        waiting = self.waiting_endpoints
+        return {e.cache: len(e.waiting) for e in waiting if e.has_stranded_attempts()}
+
     # Attempts and health checks.
 
     def send(self, attempt: Attempt) -> None:
--- a/weldbend/testbed/simulation/waiting_audit.py
+++ b/weldbend/testbed/simulation/waiting_audit.py
@@ -1,10 +1,9 @@
 """Check that no attempt of a simulated front waits for a connection that nobody is opening.
 
-The condition is `EndpointConnections.has_stranded_attempts`. It is checked after every event of a run, since
-a stranded attempt is otherwise noticed only as a request that was answered late.
+The condition is that of `CachePool.stranded_attempts`. It is checked after every event of a run, since a
+stranded attempt is otherwise noticed only as a request that was answered late.
 """
 
-from weldbend.caches.endpoint_connections import EndpointConnections
 from weldbend.testbed.simulation.site import RunContext, SimulatedSite
 
 
@@ -12,25 +11,25 @@
     """Adds an error to the run for each cache at which attempts of a front become stranded.
 
     Attributes:
-        stranded: Connections with stranded attempts that have been reported.
+        reported: Names of fronts and numbers of caches that have been reported.
     """
 
     def __init__(self, context: RunContext, site: SimulatedSite) -> None:
         self.context = context
         self.site = site
-        self.stranded: set[EndpointConnections] = set()
+        self.reported: set[tuple[str, int]] = set()
 
     def check(self) -> None:
         """Check all fronts; called after each event."""
         for machine, front in self.site.fronts.values():
-            for endpoint in front.dispatcher.pool.waiting_endpoints:
-                if endpoint.has_stranded_attempts() and endpoint not in self.stranded:
-                    self.stranded.add(endpoint)
-                    self._report(machine.name, endpoint)
+            for cache, count in front.dispatcher.pool.stranded_attempts().items():
+                self._report(machine.name, cache, count)
 
-    def _report(self, front_name: str, endpoint: EndpointConnections) -> None:
+    def _report(self, front: str, cache: int, count: int) -> None:
         network = self.context.network
-        network.errors.append(
-            f"{network.events.now:.4f} {front_name}: {len(endpoint.waiting)} attempts wait at cache "
-            f"{endpoint.cache} and no connection is being opened for them"
-        )
+        if (front, cache) not in self.reported:
+            self.reported.add((front, cache))
+            network.errors.append(
+                f"{network.events.now:.4f} {front}: {count} attempts wait at cache {cache} "
+                "and no connection is being opened for them"
+            )
