Count rejected and failed requests by the rule that decided them

Need: one symptom of the process test is "two of 64 requests rejected early", and neither log nor metrics could tell which rule rejected them.

Change: the router gives a reason with each rejection and failure (`AnswerReason`); the front counts `rejected: REASON` and `failed: REASON` beside the totals, and requests rejected at a shutdown, which were not counted at all. `Admission.find_block` and `find_exhausted_limit` return what blocks in place of a bare truth value; the checks and their order, and so the random draws, are the same.

--- a/weldbend/front/admission.py
+++ b/weldbend/front/admission.py
@@ -57,6 +57,7 @@
             self._refuse_duplicate(client_request, duplicate.client_request)
             return
         if self.is_rejecting:
+            self.context.counters.counts["requests rejected at a shutdown"] += 1
             client_request.answer_rejected(site.settings.max_retry_after)
             return
         if len(self.requests.by_id) >= site.max_open_requests:
--- a/weldbend/front/attempts.py
+++ b/weldbend/front/attempts.py
@@ -12,7 +12,7 @@
 from weldbend.front.event_queue import EventQueue
 from weldbend.front.open_requests import OpenRequest, RequestTable
 from weldbend.invariants import anomalies, check_invariant
-from weldbend.routing.actions import SendAttempt
+from weldbend.routing.actions import AnswerReason, SendAttempt
 from weldbend.routing.events import AttemptResult, RequestCancelled
 from weldbend.routing.settings import Idempotency
 
@@ -143,17 +143,19 @@
 
     # Final answers.
 
-    def reject(self, request: OpenRequest, retry_after: float) -> None:
+    def reject(self, request: OpenRequest, retry_after: float, reason: AnswerReason) -> None:
         """Reject a request, with a Retry-After in seconds, or without one if it is 0."""
         if not request.is_closed:
             self.context.counters.counts["rejected"] += 1
+            self.context.counters.counts[f"rejected: {reason}"] += 1
             request.client_request.answer_rejected(retry_after)
             self.close(request)
 
-    def fail(self, request: OpenRequest) -> None:
+    def fail(self, request: OpenRequest, reason: AnswerReason) -> None:
         """Answer a request as failed, as decided by the router."""
         if not request.is_closed:
             self.context.counters.counts["failed"] += 1
+            self.context.counters.counts[f"failed: {reason}"] += 1
             request.client_request.answer_failed()
             self.close(request)
 
--- a/weldbend/front/dispatcher.py
+++ b/weldbend/front/dispatcher.py
@@ -182,11 +182,11 @@
 
     def _reject_request(self, action: RejectRequest) -> None:
         if request := self.requests.by_id.get(action.id):
-            self.attempts.reject(request, action.retry_after)
+            self.attempts.reject(request, action.retry_after, action.reason)
 
     def _fail_request(self, action: FailRequest) -> None:
         if request := self.requests.by_id.get(action.id):
-            self.attempts.fail(request)
+            self.attempts.fail(request, action.reason)
 
     def _set_timer(self, action: SetTimer) -> None:
         timer = self.context.timers.after(action.delay, lambda: self._fire_timer(action))
--- a/weldbend/routing/actions.py
+++ b/weldbend/routing/actions.py
@@ -4,6 +4,25 @@
 """
 
 from dataclasses import dataclass
+from enum import StrEnum
+
+
+class AnswerReason(StrEnum):
+    """Reason for which a request was rejected or failed; the values appear in the counters."""
+
+    LOOP_LAG = "event-loop lag"
+    QUEUED_UNREAD = "time queued unread"
+    FLEET_LIMIT = "fleet-wide limit"
+    DEADLINE = "deadline"
+    ATTEMPT_LIMIT = "attempt limit"
+    ERROR_LIMIT = "error answers"
+    RETRY_BUDGET = "retry budget"
+    UNSAFE_RETRY = "unsafe retry"  # a second effect would be possible, or a hedge that the site forbids
+    NOT_DEDUPLICATED = "idempotency key unknown to the cache"
+    CONCURRENCY_LIMIT = "concurrency limit"
+    NOT_READY = "cache not ready"
+    SLOW_START = "slow-start budget"
+    NO_CACHE = "no usable cache"
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +69,7 @@
 
     id: str
     retry_after: float
+    reason: AnswerReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +77,7 @@
     """Final answer: failed; it is not known whether a retry is safe."""
 
     id: str
+    reason: AnswerReason
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldbend/routing/admission.py
+++ b/weldbend/routing/admission.py
@@ -4,6 +4,7 @@
 """
 
 from weldbend.routing import actions, events
+from weldbend.routing.actions import AnswerReason
 from weldbend.routing.actor import Actor
 from weldbend.routing.cache_state import Cache
 from weldbend.routing.context import Context
@@ -82,12 +83,17 @@
         request_class = self.context.settings.classes[received.class_name]
         self.requests.add(context.now)
         highest = max(other.priority_weight for other in context.settings.classes.values())
-        queued = received.queued_for / (QUEUED_LIMIT * request_class.latency_objective)
-        lag = self.lag.value(context.now) / LAG_LIMIT
-        excess = max(lag, queued, OVER_LIMIT_LOAD * received.over_limit)
-        excess -= 2 if request_class.priority_weight >= highest else 1
+        loads = {
+            AnswerReason.LOOP_LAG: self.lag.value(context.now) / LAG_LIMIT,
+            AnswerReason.QUEUED_UNREAD: received.queued_for
+            / (QUEUED_LIMIT * request_class.latency_objective),
+            AnswerReason.FLEET_LIMIT: OVER_LIMIT_LOAD * received.over_limit,
+        }
+        reason = max(loads, key=loads.__getitem__)
+        excess = loads[reason] - (2 if request_class.priority_weight >= highest else 1)
         if excess > 0 and context.random.random() < excess:
-            context.actions.append(actions.RejectRequest(received.id, context.settings.max_retry_after))
+            retry_after = context.settings.max_retry_after
+            context.actions.append(actions.RejectRequest(received.id, retry_after, reason))
         else:
             request = Request(context, received, request_class)
             context.post(context.requests.setdefault(received.id, request), received)
@@ -99,37 +105,52 @@
         """
         request = attempt.request
         statistics = self.context.statistics
-        if self.is_exhausted(request) or not self.is_safe(attempt):
-            return Blocked(None)
+        if exhausted := self.find_exhausted_limit(request):
+            return Blocked(None, exhausted)
+        if not self.is_safe(attempt):
+            return Blocked(None, AnswerReason.UNSAFE_RETRY)
         if not self.is_deduplicated(attempt):
-            return Blocked(attempt.cache)
+            return Blocked(attempt.cache, AnswerReason.NOT_DEDUPLICATED)
         is_densest = statistics.is_densest(request.request_class)
         # concurrency limits do not apply to origin-only classes
         is_limited = not request.request_class.origin_only
         at_parent = is_limited and attempt.limited_by().role is Role.PARENT
         if at_parent and not self.context.parent_limit.has_capacity(is_densest):
-            return Blocked(None)
+            return Blocked(None, AnswerReason.CONCURRENCY_LIMIT)
         for cache in attempt.caches():
+            if reason := self.find_cache_block(cache, request, is_limited, is_densest):
+                return Blocked(cache, reason)
+        return None
+
+    def find_cache_block(
+        self, cache: Cache, request: Request, is_limited: bool, is_densest: bool
+    ) -> AnswerReason | None:
+        """Return why a cache may not take part in an attempt now, or None if it may.
+
+        Args:
+            cache: cache that the attempt involves.
+            request: request of the attempt.
+            is_limited: whether concurrency limits apply to the class of the request.
+            is_densest: whether that class has the highest priority weight per work.
+        """
+        if is_limited:
             # primary: no cache of the same role has been ruled out before, or this request has already looked
             # up the object at this cache, which did not have it
             is_primary = cache is request.missed_cache or all(
                 c.role is not cache.role for c in request.ruled_out
             )
-            is_free = not is_limited or cache.concurrency.has_capacity(is_densest, is_primary)
-            if (
-                not is_free
-                or cache.state is not EndpointState.READY
-                or not self.has_slow_start_budget(cache, request)
-            ):
-                return Blocked(cache)
-        return None
+            if not cache.concurrency.has_capacity(is_densest, is_primary):
+                return AnswerReason.CONCURRENCY_LIMIT
+        if cache.state is not EndpointState.READY:
+            return AnswerReason.NOT_READY
+        return None if self.has_slow_start_budget(cache, request) else AnswerReason.SLOW_START
 
-    def is_exhausted(self, request: Request) -> bool:
-        """Return whether a request may have no further attempt.
+    def find_exhausted_limit(self, request: Request) -> AnswerReason | None:
+        """Return why a request may have no further attempt, or None if it may have one.
 
-        This is the case when its time, its number of attempts, its number of errors or the retry budget is
-        used up. Attempts that ended by a fault of this machine do not count as attempts: each of them took
-        the time of an attempt to connect, so the deadline limits their number.
+        Its time, its number of attempts, its number of errors or the retry budget may be used up. Attempts
+        that ended by a fault of this machine do not count as attempts: each of them took the time of an
+        attempt to connect, so the deadline limits their number.
         """
         now = self.context.now
         errors = sum(attempt.result is AttemptResult.ERROR for attempt in request.attempts)
@@ -137,8 +158,13 @@
         is_budget_spent = request.needs_retry() and self.retries.total(now) >= budget
         is_expired = request.is_closed or now >= request.received.deadline
         counted = sum(attempt.result is not AttemptResult.LOCAL_FAULT for attempt in request.attempts)
-        is_attempt_limit_reached = counted >= self.context.settings.max_attempts
-        return errors >= MAX_ERRORS or is_budget_spent or is_expired or is_attempt_limit_reached
+        if is_expired:
+            return AnswerReason.DEADLINE
+        if errors >= MAX_ERRORS:
+            return AnswerReason.ERROR_LIMIT
+        if counted >= self.context.settings.max_attempts:
+            return AnswerReason.ATTEMPT_LIMIT
+        return AnswerReason.RETRY_BUDGET if is_budget_spent else None
 
     def is_safe(self, attempt: Attempt) -> bool:
         """Return whether an attempt cannot cause a second effect and is no hedge that the site forbids."""
@@ -232,9 +258,10 @@
         else:
             is_harmless = not executions or request_class.idempotency is Idempotency.IDEMPOTENT
         request_id = request.received.id
-        retry_after = min(self.context.settings.max_retry_after, RETRY_AFTER)
-        answer = (
-            actions.RejectRequest(request_id, retry_after) if is_harmless else actions.FailRequest(request_id)
-        )
-        self.context.actions.append(answer)
+        reason = request.answer_reason
+        if is_harmless:
+            retry_after = min(self.context.settings.max_retry_after, RETRY_AFTER)
+            self.context.actions.append(actions.RejectRequest(request_id, retry_after, reason))
+        else:
+            self.context.actions.append(actions.FailRequest(request_id, reason))
         self.context.post(request, events.RequestCancelled(request_id))
--- a/weldbend/routing/messages.py
+++ b/weldbend/routing/messages.py
@@ -4,6 +4,7 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Union
 
+from weldbend.routing.actions import AnswerReason
 from weldbend.routing.events import (
     AttemptEnded,
     CacheEvent,
@@ -52,6 +53,7 @@
     """A planned attempt may not be sent; `cache` is the blocking cache, None if no other cache would help."""
 
     cache: "Cache | None"
+    reason: AnswerReason
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldbend/routing/placement.py
+++ b/weldbend/routing/placement.py
@@ -1,5 +1,6 @@
 """Placement according to the paper: prefilter, value and cache rate of copies, and the choice by hash."""
 
+from weldbend.routing.actions import AnswerReason
 from weldbend.routing.actor import Actor
 from weldbend.routing.cache_group import CacheGroup, Choices
 from weldbend.routing.cache_rates import CacheRates
@@ -39,7 +40,7 @@
         elif attempt := self.plan(message):
             self.context.post(self.context.admission, attempt)
         else:
-            self.context.post(message, Blocked(None))
+            self.context.post(message, Blocked(None, AnswerReason.NO_CACHE))
 
     def plan(self, request: Request) -> Attempt | None:
         """Return the next attempt, or None if no cache can be used.
--- a/weldbend/routing/records.py
+++ b/weldbend/routing/records.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from weldbend.routing.actions import SendAttempt
+from weldbend.routing.actions import AnswerReason, SendAttempt
 from weldbend.routing.actor import Actor
 from weldbend.routing.cache_group import CacheGroup, Choices, RoleGroup
 from weldbend.routing.connection_breaks import ConnectionBreaks
@@ -131,6 +131,7 @@
         error_suspects: caches that answered with an error for which they may be responsible; the error is
             counted against them once another attempt is served.
         popularity: popularity of the object according to the prefilter.
+        answer_reason: reason to report if the request is rejected or fails now.
         is_closed: whether the request has its final answer or was cancelled.
     """
 
@@ -148,8 +149,17 @@
         self.missed_parent: Cache | None = None
         self.error_suspects: list[Cache] = []
         self.popularity = Popularity(0, 0.0)
+        self.answer_reason = AnswerReason.NO_CACHE
         self.is_closed = False
 
+    def record_block(self, reason: AnswerReason) -> None:
+        """Store why an attempt was blocked.
+
+        That no cache is left to try follows from the blocks before, whose reason is kept.
+        """
+        if reason is not AnswerReason.NO_CACHE:
+            self.answer_reason = reason
+
     def in_flight(self) -> list[Attempt]:
         """Return the attempts that have not ended."""
         return [attempt for attempt in self.attempts if attempt.result is None]
--- a/weldbend/routing/requests.py
+++ b/weldbend/routing/requests.py
@@ -1,7 +1,7 @@
 """Lifecycle of one request: attempts, retries, suspicion of slow attempts, and the final answer."""
 
 from weldbend.routing import events
-from weldbend.routing.actions import CancelAttempt
+from weldbend.routing.actions import AnswerReason, CancelAttempt
 from weldbend.routing.cache_state import Cache, responsible_cache
 from weldbend.routing.events import AttemptResult, FillHint
 from weldbend.routing.messages import Blocked, Outcome, Popularity, RequestMessage, Suspicion
@@ -66,10 +66,12 @@
                 self.context.post(self.context.placement, self)
             case Attempt():
                 self.set_timeout(message)
-            case Blocked(cache) if cache is not None and cache not in self.ruled_out:
+            case Blocked(cache, reason) if cache is not None and cache not in self.ruled_out:
+                self.record_block(reason)
                 self.ruled_out.add(cache)
                 self.context.post(self.context.placement, self)
-            case Blocked() if not self.in_flight():  # admission gives the final answer
+            case Blocked(_, reason) if not self.in_flight():  # admission gives the final answer
+                self.record_block(reason)
                 self.context.post(self.context.admission, self)
             case events.ResponseStarted():
                 self.is_closed = True
@@ -78,6 +80,7 @@
             case Suspicion() if message.attempt.result is None:
                 self.suspect(message)
             case events.TimerFired():  # the time of the request has ended; admission gives the final answer
+                self.answer_reason = AnswerReason.DEADLINE
                 self.context.post(self.context.admission, self)
 
     def set_timeout(self, attempt: Attempt) -> None:
--- a/weldbend/simhost/wire.py
+++ b/weldbend/simhost/wire.py
@@ -306,9 +306,9 @@
             return _send_attempt_text(action)
         case CancelAttempt(name, attempt):
             return f"stop_attempt {name} {attempt}"
-        case RejectRequest(name, retry_after):
+        case RejectRequest(name, retry_after, _):
             return f"say_no {name} {to_microseconds(retry_after)}"
-        case FailRequest(name):
+        case FailRequest(name, _):
             return f"end_failed {name}"
         case _:
             return _other_action_text(action)
