Keep the slow-start quota of a cache when a list repeats its start

What callers saw (fleets with leased slow-start budgets): after a list that repeats a cache's start, each front sent the cache nothing until its allowance changed. Late in the warm-up nothing is lent any more, so that was the whole rest of it; callers got fills from elsewhere or Retry-After.

Cause: `SlowStartQuotas.cache_restarted` posts a quota of 0 and opens the limit one iteration later. If the limit of that start is open already, `open` returns at once, and `SharedLimit.update_spender` passes only a changed allowance.

Why this works: a limit of the latest start that is open is left alone: the same start gives the same estimate, so the router does not restart the cache.

--- a/tests/test_fleet_fronts.py
+++ b/tests/test_fleet_fronts.py
@@ -13,6 +13,7 @@
 from weldbend.fleet.outbox import Priority
 from weldbend.fleet.peer_connections import PeerConnection, add_length_prefix
 from weldbend.fleet.purges import PurgeExchange
+from weldbend.routing.events import SlowStartQuota
 from weldbend.testbed.fleet.simulated_fleet import FleetRun, FleetRunSettings
 from weldbend.testbed.simulation.auditor import Auditor
 
@@ -99,6 +100,46 @@
     assert {violation.rule for violation in without.play().violations} == {"drains kept", "purges kept"}
 
 
+def test_a_list_that_repeats_the_start_of_a_cache_does_not_stop_attempts_at_it():
+    """Late in the warm-up no parts are lent any more, so no change of a quota would end a stop."""
+
+    def repeat_record(fleet_run):
+        fleet_run.site.publish_state("e1", "up")
+
+    fleet_run = run(
+        (3.0, lambda fleet_run: fleet_run.publish_cache_state("e1", "up")),
+        (11.6, repeat_record),
+        seed=3,
+        fronts=3,
+        seconds=14.0,
+        rate=40.0,
+    )
+    attempts = [line.split() for line in fleet_run.log.lines if " e1 Command(word='do'" in line]
+    late_attempts = [at for at, *_ in attempts if 11.7 < float(at) < 13.0]
+    assert violated_rules(fleet_run) == [] and late_attempts
+
+
+def test_a_slow_start_quota_that_the_router_has_reset_is_passed_again_with_the_next_tick():
+    """A restart that only the router knows of gives the front its fixed share of a leased budget."""
+    quotas = []
+
+    def cache(fleet_run):
+        dispatcher = fleet_run.site.fronts[1][1].dispatcher
+        return dispatcher.router.caches[dispatcher.names.numbers["e1"]]
+
+    run(
+        (3.0, lambda fleet_run: fleet_run.publish_cache_state("e1", "up")),
+        (11.6, lambda fleet_run: setattr(cache(fleet_run), "quota", SlowStartQuota(cache(fleet_run).id))),
+        (11.61, lambda fleet_run: quotas.append(cache(fleet_run).quota)),
+        (12.7, lambda fleet_run: quotas.append(cache(fleet_run).quota)),
+        seed=3,
+        fronts=3,
+        seconds=14.0,
+        rate=40.0,
+    )
+    assert [quota.is_leased for quota in quotas] == [False, True]
+
+
 def test_after_a_split_the_endpoint_list_with_the_restart_of_a_drained_cache_applies_at_all_fronts():
     def start_cache(fleet_run):
         fleet_run.site.targets["e1"] |= {"boot_ms": int(fleet_run.events.unix() * 1000)}
--- a/weldbend/fleet/slow_start_quotas.py
+++ b/weldbend/fleet/slow_start_quotas.py
@@ -10,7 +10,7 @@
 
 from weldbend.fleet.lease_ledger import PARTS_PER_LIMIT, LeaseTimes
 from weldbend.fleet.lease_policy import Usage
-from weldbend.fleet.lease_service import LeaseService
+from weldbend.fleet.lease_service import Allowance, LeaseService
 from weldbend.fleet.quota_context import FrontLoop, QuotaContext
 from weldbend.fleet.replicated_items import START
 from weldbend.routing.cache_state import Cache
@@ -56,9 +56,23 @@
 
     def set_allowance(self, retained: int, leased: int, lease_end: float) -> None:
         """Pass the quota to the routing decisions ahead of all queued events, which then obey it too."""
+        self.loop.post(self.quota(Allowance(retained, leased, lease_end)), first=True)
+
+    def quota(self, allowance: Allowance) -> SlowStartQuota:
+        """Return the quota that an allowance gives this front."""
         unit = self.coverage / PARTS_PER_LIMIT
-        quota = SlowStartQuota(self.cache, True, retained * unit, leased * unit, lease_end)
-        self.loop.post(quota, first=True)
+        owned = allowance.retained * unit
+        return SlowStartQuota(self.cache, True, owned, allowance.leased * unit, allowance.lease_end)
+
+    def repair_quota(self, allowance: Allowance) -> None:
+        """Pass the quota again if the routing decisions have another one.
+
+        A restart of the cache that the router learns of by itself resets the quota. Without this, the quota
+        would stay reset until the allowance changes.
+        """
+        cache = self.loop.router.caches.get(self.cache)
+        if cache is not None and cache.quota != self.quota(allowance):
+            self.set_allowance(*allowance)
 
 
 class SlowStartQuotas:
@@ -104,23 +118,21 @@
     def cache_restarted(self, uid: str) -> None:
         """Stop sending to a cache that may have started until its limit is open, one loop iteration later.
 
-        If the limit of the same start is open already, the front sends nothing until its allowance changes.
+        Nothing changes if the limit of the latest start is open already: lists repeat a start, and the quota
+        would not be passed again before the allowance changes.
         """
         loop = self.context.loop
         number = loop.names.numbers.get(uid)
-        if number is not None and self.is_enabled:
+        if number is not None and self.is_enabled and self._latest_limit(uid) not in self.budgets:
             loop.post(SlowStartQuota(number, True))  # leased, with nothing owned and nothing leased
             loop.timers.after(0.0, lambda: self.open(uid))
 
     def open(self, uid: str) -> None:
         """Open the limit of a cache if this front knows of a start of it."""
         context = self.context
-        start = context.item(START, uid)
+        limit = self._latest_limit(uid)
         cache = context.cache(uid)
-        if not (start and cache and self.is_enabled):
-            return
-        limit = f"{LIMIT_PREFIX}{uid}@{int(start.value[0])}"
-        if limit in self.budgets:
+        if not (limit and cache and self.is_enabled) or limit in self.budgets:
             return
         if cache.role is Role.ORIGIN or cache.is_warm():
             context.loop.post(SlowStartQuota(cache.id))  # not leased: each front has a fixed share
@@ -129,6 +141,11 @@
             self.close(earlier)
         self._open_limit(limit, cache)
 
+    def _latest_limit(self, uid: str) -> str | None:
+        """Return the name of the limit of the latest known start of a cache; None if no start is known."""
+        start = self.context.item(START, uid)
+        return f"{LIMIT_PREFIX}{uid}@{int(start.value[0])}" if start else None
+
     def _open_limit(self, limit: str, cache: Cache) -> None:
         settings = self.context.settings
         budget = self.budgets[limit] = SlowStartBudget(self.context.loop, cache.id, 1.0)
@@ -169,5 +186,7 @@
             cache = self.context.loop.router.caches.get(budget.cache)
             if cache is None or cache.is_warm():
                 self.close(limit)
+            elif allowance := self.leases.limits[limit].allowance:
+                budget.repair_quota(allowance)
         for uid in [uid for uid, _ in self.context.items(START)]:
             self.open(uid)
