Rule out that copies past their fresh time pass while no purge is known; say what an age of 0 means

Finding: no fault of the front. Both protocol pages give `oldest` absent or 0 as the fresh time of the class, which the cache applies; the docstrings of `max_age`, `MIN_COPY_AGE` and `SendAttempt.max_age` said "any copy" and were wrong. A purge older than the fresh time does not widen the limit either.

The emulated caches took it so until now; they apply the fresh time where a run sets one.

--- a/weldbend/routing/actions.py
+++ b/weldbend/routing/actions.py
@@ -35,7 +35,8 @@
         source: number of the cache that a miss is filled from; the number of `cache` for a lookup, which
             fills nothing; None if the cache is the origin.
         rank: rank with which the cache stores the copy; 0 if it stores none.
-        max_age: maximum age in seconds of an acceptable copy; 0 for any.
+        max_age: maximum age in seconds of an acceptable copy; 0 for the fresh time of the class, which the
+            cache applies (any age if the class has none).
         timeout: seconds after which the attempt is aborted; 0 for the deadline of the request.
         join_fill: whether the attempt may join a fill that is under way.
         only_if_cached: whether the source answers only from its stored copies.
--- a/weldbend/routing/admission.py
+++ b/weldbend/routing/admission.py
@@ -33,7 +33,7 @@
 MAX_ERRORS = 3  # error answers after which a request gets no further attempt
 WARM_LOAD_WINDOW = 10.0  # seconds over which the load of warm caches is measured
 PURGE_MARGIN = 0.001  # seconds by which a copy has to be newer than a purge to be accepted
-MIN_COPY_AGE = 2e-6  # minimum age limit in seconds; a limit of 0 would mean that any copy is accepted
+MIN_COPY_AGE = 2e-6  # minimum age limit in seconds; a limit of 0 would stand for the fresh time of the class
 
 
 class Admission(Actor[AdmissionMessage]):
@@ -221,7 +221,7 @@
         """Return the maximum age in seconds of an acceptable copy.
 
         Copies older than a purge known to this front are never accepted. If it knows of no purge of the
-        object or its group, the result is 0, which accepts any copy.
+        object or its group, the result is 0: the cache then applies the fresh time of the class.
         """
         received = attempt.request.received
         fresh_for = attempt.request.request_class.fresh_for
--- a/weldbend/testbed/emulator/cache_model.py
+++ b/weldbend/testbed/emulator/cache_model.py
@@ -11,6 +11,7 @@
 
 DEDUPLICATION_WINDOW = 8  # seconds for which the idempotency key of an executed write is remembered
 WRITE_FACTOR = 5  # ratio of the service time of a write to that of a read
+MILLISECONDS = 1000  # per second
 MAX_FILLS = 1024  # number of recorded fills above which completed ones are removed
 
 PartKey = tuple[str, int]  # key of an object and number of one of its parts
@@ -215,6 +216,7 @@
         sizes: Sizes of the objects' parts.
         links: Links from the parents to an edge, by the edge's uid.
         origin_link: Link from the origin to the parents.
+        fresh_time: Maximum age in seconds of a copy for a command that names none; 0 for any age.
     """
 
     def __init__(
@@ -230,6 +232,7 @@
         self.sizes = sizes
         self.links = {cache.uid: Link(edge_rate, edge_delay) for cache in caches if cache.kind == "box"}
         self.origin_link = Link(origin_rate or 4 * edge_rate, edge_delay / 2)
+        self.fresh_time = 0.0
 
     def execute(self, uid: str, fields: dict[str, str], now: float, unix: float) -> TimedAnswer:
         """Execute one command.
@@ -252,7 +255,8 @@
         if fields.get("uniq") or fields["queue"] != "photo":
             return cache.execute_write(fields.get("uniq"), now, unix)
         part_key = fields["path"], int(fields["blk"])
-        lookup = Lookup(part_key, float(fields["oldest"]) if "oldest" in fields else None, now, unix)
+        max_age = float(fields.get("oldest", 0)) or self.fresh_time * MILLISECONDS or None
+        lookup = Lookup(part_key, max_age, now, unix)
         if cache.kind == "origin":
             cache.count("origin")
             size = self.sizes.part_size(*part_key)
--- a/weldbend/testbed/simulation/settings.py
+++ b/weldbend/testbed/simulation/settings.py
@@ -75,6 +75,7 @@
     fault_kinds: tuple[str, ...] = ("restart", "drain", "purge", "vanish", "reset", "front", "bus")
     max_streams: int = 32  # attempts in flight on one connection to a cache
     poll_interval: float = 0.0  # time between two polls of a front's sockets; 0: each event is handled alone
+    fresh_time: float = 0.0  # seconds for which copies of class photo are fresh; 0: until they are purged
     objects: int = 120
     edge_capacity: int = 4 << 20  # bytes
     settling: float = 10.0  # time without load at the end, so that each request gets its answer
--- a/weldbend/testbed/simulation/site.py
+++ b/weldbend/testbed/simulation/site.py
@@ -85,6 +85,7 @@
         self.events = context.network.events
         self.sizes = PartSizes(median=MEDIAN_SIZE)
         self.caches = EmulatedCaches([], self.sizes)
+        self.caches.fresh_time = context.settings.fresh_time
         self.machines: dict[str, Machine] = {}  # machines of the caches, by uid
         # Seconds by which the Unix clocks of fronts, bus and caches have been stepped, by clock name.
         self.unix_steps = defaultdict[str, float](float)
@@ -214,7 +215,7 @@
         count = self.context.settings.fronts
         family = SETTINGS["family_info"] | {
             "count_by_zone": [0, count],
-            "lifetime_by_class_us": [0, 0, 0],
+            "lifetime_by_class_us": [int(self.context.settings.fresh_time * 1e6), 0, 0],
             "older_by_us": [0, 0, 0],
             "pass_on": [False, True, True],
         }
