Close the slow-start limit of a removed cache whose number another cache has taken

What callers saw (fleets, only if the checksums of two uids are equal): a cache that started after one of the same checksum had left got its quota from the limit of the removed one as well as from its own. Two ledgers lent parts of one budget, so that the cache could get more than that.

Cause: `EndpointRegistry` frees the number of a removed cache, and a uid with the same checksum takes it. `SlowStartQuotas.tick` runs once a second and looked for the number only; if the number had a new owner by then, the budget stayed open until that one was warm.

The new test failed before.

Why this works: a budget belongs to a uid, and counts as listed only while this uid has its number; else it spends nothing, passes nothing on and is closed at the next tick.

In a single front the same is not seen: attempts and their ends refer to cache objects, a number is freed only after the iteration that removes the cache, and its connections are given up before (read, not run). Which of two such uids gets the checksum itself still depends on their order at each front.

--- a/tests/test_fleet_fronts.py
+++ b/tests/test_fleet_fronts.py
@@ -119,6 +119,41 @@
     assert violated_rules(fleet_run) == [] and late_attempts
 
 
+def test_a_cache_that_takes_the_number_of_a_removed_one_gets_no_quota_of_its_limit():
+    """The checksums of both uids, which give the numbers of caches, are equal."""
+    limits = []
+
+    def start(uid, host):
+        def start_cache(fleet_run):
+            fleet_run.site.start_cache(uid, "box", host, fleet_run.site.unix_ms("caches"))
+            fleet_run.site.publish_state(uid, "up")
+
+        return start_cache
+
+    def remove_first(fleet_run):
+        fleet_run.site.publish_state("plumless", "removed")
+        fleet_run.site.machines["plumless"].kill()
+
+    def record_limits(fleet_run):
+        limits.append([*fleet_adapter(fleet_run, 1).quota_service.slow_start.budgets])
+
+    run(
+        (3.0, start("plumless", "10.0.1.91")),
+        (5.9, record_limits),
+        (6.0, remove_first),
+        (6.05, start("buckeroo", "10.0.1.92")),
+        (8.2, record_limits),  # two ticks later
+        seed=3,
+        fronts=3,
+        seconds=10.0,
+        rate=40.0,
+    )
+    assert [[limit.partition("@")[0] for limit in names] for names in limits] == [
+        ["cold:plumless"],
+        ["cold:buckeroo"],
+    ]
+
+
 def test_a_slow_start_quota_that_the_router_has_reset_is_passed_again_with_the_next_tick():
     """A restart that only the router knows of gives the front its fixed share of a leased budget."""
     quotas = []
--- a/weldbend/fleet/slow_start_quotas.py
+++ b/weldbend/fleet/slow_start_quotas.py
@@ -27,19 +27,25 @@
 
     Attributes:
         loop: event loop of the front.
+        uid: uid of the cache.
         cache: number of the cache.
         coverage: fraction of the cache's whole budget that the configured fronts divide by leases: their
             number divided by the number of fronts that the settings expect to send to the cache, at most 1.
     """
 
     loop: FrontLoop
+    uid: str
     cache: int
     coverage: float
 
+    def is_cache_listed(self) -> bool:
+        """Return whether the cache is listed, and its number was not given to another one since."""
+        return self.loop.names.numbers.get(self.uid) == self.cache and self.cache in self.loop.router.caches
+
     def usage(self, now: float) -> Usage:
         """Return the work sent and wanted in the last window, and the work of one attempt, in parts."""
         router = self.loop.router
-        if self.cache not in router.caches:  # no longer listed
+        if not self.is_cache_listed():
             return Usage(0.0, 0.0)
         demand = slow_start_demand(router, self.cache, now)
         budget = demand.fleet_budget * self.coverage
@@ -55,8 +61,12 @@
         )
 
     def set_allowance(self, retained: int, leased: int, lease_end: float) -> None:
-        """Pass the quota to the routing decisions ahead of all queued events, which then obey it too."""
-        self.loop.post(self.quota(Allowance(retained, leased, lease_end)), first=True)
+        """Pass the quota to the routing decisions ahead of all queued events, which then obey it too.
+
+        The number of a cache that was removed may belong to another one; that one gets nothing.
+        """
+        if self.is_cache_listed():
+            self.loop.post(self.quota(Allowance(retained, leased, lease_end)), first=True)
 
     def quota(self, allowance: Allowance) -> SlowStartQuota:
         """Return the quota that an allowance gives this front."""
@@ -148,7 +158,8 @@
 
     def _open_limit(self, limit: str, cache: Cache) -> None:
         settings = self.context.settings
-        budget = self.budgets[limit] = SlowStartBudget(self.context.loop, cache.id, 1.0)
+        uid = limit.removeprefix(LIMIT_PREFIX).rpartition("@")[0]
+        budget = self.budgets[limit] = SlowStartBudget(self.context.loop, uid, cache.id, 1.0)
         owners = self.owners(limit)
         expected_fronts = settings.zone_fronts if cache.role is Role.EDGE else settings.fronts
         budget.coverage = min(1.0, len(owners) / expected_fronts)
@@ -178,13 +189,13 @@
         """Close a limit; this front then uses its fixed share of the cache's budget again."""
         budget = self.budgets.pop(limit)
         self.leases.close(limit)
-        self.context.loop.post(SlowStartQuota(budget.cache), first=True)
+        if budget.is_cache_listed():
+            self.context.loop.post(SlowStartQuota(budget.cache), first=True)
 
     def tick(self) -> None:
         """Close the limits of caches that are warm or removed, and open limits for new starts."""
         for limit, budget in list(self.budgets.items()):
-            cache = self.context.loop.router.caches.get(budget.cache)
-            if cache is None or cache.is_warm():
+            if not budget.is_cache_listed() or self.context.loop.router.caches[budget.cache].is_warm():
                 self.close(limit)
             elif allowance := self.leases.limits[limit].allowance:
                 budget.repair_quota(allowance)
