--- a/tests/test_fresh_time.py
+++ b/tests/test_fresh_time.py
@@ -1,6 +1,6 @@
 """Guards against copies that are older than the fresh time of their class while no purge is known.
 
-By the protocol of caches, a command without an age limit stands for the fresh time of the class. A front
+By the protocol of caches, the fresh time of the class applies to a command without an age limit. A front
 sends a limit only for purged objects.
 """
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -32,6 +32,8 @@
     TimeSlot,
     Usage,
 )
+from weldbend.fleet.lease_service import LeaseService
+from weldbend.fleet.messages import AcquireLease
 from weldbend.fleet.rendezvous import rank
 from weldbend.routing.random_source import RandomSource
 from weldbend.testbed.fleet.lease_model import LeaseModel, Scope
@@ -410,6 +412,31 @@
     ).play()
 
 
+class Spender:
+    """A spender that wants parts of a limit without having spent any."""
+
+    def __init__(self, wanted):
+        self.wanted = wanted
+
+    def usage(self, now):
+        return Usage(0.0, self.wanted, 1.0)
+
+    def set_allowance(self, retained, leased, lease_end):
+        pass
+
+
+def test_a_lease_request_without_an_answer_is_sent_again_with_the_same_number():
+    service = LeaseService("n1", 1, RandomSource(1), 0.0, lambda limit: None, lambda: 0.0)
+    service.open("limit", ["n1", "n2"], 100.0, LEASE_TIMES, Spender(PARTS_PER_LIMIT), 0.0)
+    numbers = [
+        send.body.number
+        for tick in range(1, 200)
+        for send in service.tick(tick * 0.01, ["n1", "n2"])
+        if isinstance(send.body, AcquireLease)
+    ]
+    assert service.counts["lease requests retried"] > 0 and len(set(numbers)) < len(numbers)
+
+
 def test_a_busy_front_gets_the_parts_that_others_leave_idle():
     leases, fixed, oracle = (play_experiment(kind).utilisation() for kind in ("leases", "fixed", "oracle"))
     assert leases > 0.95 * oracle > 2 * fixed
--- a/weldbend/routing/admission.py
+++ b/weldbend/routing/admission.py
@@ -33,7 +33,7 @@
 MAX_ERRORS = 3  # error answers after which a request gets no further attempt
 WARM_LOAD_WINDOW = 10.0  # seconds over which the load of warm caches is measured
 PURGE_MARGIN = 0.001  # seconds by which a copy has to be newer than a purge to be accepted
-MIN_COPY_AGE = 2e-6  # minimum age limit in seconds; a limit of 0 would stand for the fresh time of the class
+MIN_COPY_AGE = 2e-6  # minimum age limit in seconds; 0 means the fresh time of the class
 
 
 class Admission(Actor[AdmissionMessage]):
