Review, case 2: a refused order comes back after its window and is run twice

An order whose answer hangs is refused at the end of its try with after=500 although the archive will have forgotten its key by then.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
 # ruff: noqa
-"""Case 2: a front never hears of a drain from an event bus that takes 2.2 s to serve each call."""
+"""Case 2: a refusal sends a client back after the archive has forgotten the key, and its order runs twice."""
 
 import sys
 from collections import Counter
@@ -9,73 +9,122 @@
 
 from standins import *
 
-TURN = 2.2  # seconds that a call waits for its turn at the bus
-TOLD_AFTER = 7.0  # seconds after which what the bus has to tell counts as told, whether or not it arrived
-GRACE = 0.25  # seconds from then until sends have to stop: `drain_grace_us` of the settings
-TOLERANCE = 0.05  # seconds by which each time limit is longer on sockets
-DRAIN_AT = 3.0  # seconds after the front is ready
-SEND_FOR = 18.0  # seconds of requests
-INTERVAL = 0.03  # seconds between two requests
+WINDOW = 1.5  # seconds for which the archive drops repeats; `window_us` of the settings
+EXPIRY = 3.0  # seconds that a client waits in all, over all its tries; `deadline_us` of the settings
+TRY_SHARE = 0.5  # a try is given up after 50 to 100 % of the expiry
+HANG_FROM = 3.0  # seconds after the start of the orders
+HANG_FOR = 1.9  # seconds
+ORDERS = 30
+INTERVAL = 0.2  # seconds between two orders
+
+
+class Archive(Cache):
+    """The archive: it runs an order, and drops each repeat of its key for WINDOW seconds.
+
+    While it hangs no answer leaves it. What it has received until then was run all the same.
+    """
+
+    def __init__(self, record: Record) -> None:
+        super().__init__(record, "archive", "archive", "upper", self.run)
+        self.runs: dict[str, list[float]] = {}  # by key, the times at which the order was run
+        self.hangs = False
+
+    def run(self, command: Command) -> None:
+        if "uniq" not in command.fields:
+            origin(command)
+            return
+        runs = self.runs.setdefault(command.fields["uniq"], [])
+        if runs and command.at - runs[-1] < WINDOW:
+            self.record("archive: drops a repeat of", command.fields["uniq"])
+        else:
+            runs.append(command.at)
+            self.record("archive: RUNS", command.fields["uniq"], "time", len(runs))
+        if self.hangs:
+            self.record("archive: hangs, the answer does not come:", command.name)
+        else:
+            asyncio.get_running_loop().call_later(0.03, self.end, command)
+
+    def end(self, command: Command) -> None:
+        if not self.hangs:
+            command.serve("o")
+
+
+async def order(record: Record, front: Front, outcomes: Counter, waits: list[int]) -> None:
+    """Play a sound client with one order: one retry, only after a refusal, when the refusal says so."""
+    client = await Client(record, "client").connect(front.port)
+    key, once = request_id(), request_id() + request_id()
+    began = time.monotonic()
+
+    async def attempt(**retry: str) -> tuple:
+        fields = {
+            "class": "order-prints",
+            "id": request_id(),
+            "wait": str(int(min(TRY_SHARE * EXPIRY, began + EXPIRY - time.monotonic()) * 1000)),
+            "once": once,
+            "key": key,
+            "nth": "0",
+            "batch": "17",
+            "kb": "20",
+        } | retry
+        record("client sends", fields["id"], "wait", fields["wait"], "once", once, retry)
+        outcome = await client.request(fields, b"two prints, please")
+        record("client is told of", fields["id"], ":", outcome[0], outcome[2])
+        return outcome
+
+    outcome = await attempt()
+    if outcome[0] == "refused":
+        after = int(outcome[2].get("after", "0"))
+        waits.append(after)
+        await asyncio.sleep(after / 1000)
+        if time.monotonic() < began + EXPIRY:
+            outcome = await attempt(retry="1")
+            outcomes["after a refusal: " + outcome[0]] += 1
+            client.close()
+            return
+    outcomes[outcome[0]] += 1
+    client.close()
 
 
 async def case(record: Record, folder: Path) -> bool:
-    edges = [Cache(record, f"s-{i}", "small-box", "branch-1", edge) for i in range(4)]
+    archive = Archive(record)
     caches = [
-        *edges,
+        *(Cache(record, f"s-{i}", "small-box", "branch-1", edge) for i in range(4)),
         Cache(record, "hub-1", "hub-cache", "upper", edge),
-        Cache(record, "archive", "archive", "upper", origin),
+        archive,
     ]
     for cache in caches:
         await cache.start()
     first = listing(1, [cache.target() for cache in caches], whole=True)
     bus = Bus(record, first)
-    bus.wait = TURN if TROUBLE else 0.0
     await bus.start()
     front = Front(record, "n1", folder)
-    front.write_config(bus, [first])
+    lanes = settings()["lanes"]
+    lanes[1] |= {"window_us": int(WINDOW * 1e6), "deadline_us": int(EXPIRY * 1e6)}
+    front.write_config(bus, [first], lanes=lanes)
     await front.start()
-    drained = edges[0]
-    drained_at = None
-    requests: list[asyncio.Future] = []
+    outcomes: Counter = Counter()
+    waits: list[int] = []
     try:
-        client = await Client(record, "client").connect(front.port)
         began = time.monotonic()
-        while (now := time.monotonic()) < began + SEND_FOR:
-            if drained_at is None and now > began + DRAIN_AT:
-                bus.publish(topology={"rev": 2, "all": False, "targets": [drained.target("draining")]})
-                drained_at = now
-            fields = {
-                "class": "clip-parts",
-                "id": request_id(),
-                "wait": "5000",
-                "key": f"{len(requests) % 40:016x}",
-                "nth": "0",
-                "batch": "3",
-                "kb": "400",
-            }
-            requests.append(client.request(fields))
-            await asyncio.sleep(INTERVAL)
-        await asyncio.wait(requests, timeout=6)
+        tasks = []
+        for _ in range(ORDERS):
+            archive.hangs = TROUBLE and 0 < time.monotonic() - began - HANG_FROM < HANG_FOR
+            tasks.append(asyncio.create_task(order(record, front, outcomes, waits)))
+            until = time.monotonic() + INTERVAL
+            while time.monotonic() < until:
+                hangs = TROUBLE and 0 < time.monotonic() - began - HANG_FROM < HANG_FOR
+                if hangs is not archive.hangs:
+                    record("archive:", "begins to hang" if hangs else "goes on")
+                    archive.hangs = hangs
+                await asyncio.sleep(0.005)
+        await asyncio.wait(tasks, timeout=8)
     finally:
         await front.end()
-    limit = drained_at + TOLD_AFTER + GRACE + TOLERANCE
-    late = [command.at - drained_at for command in drained.received if command.at > limit]
-    late += [
-        command.at - drained_at
-        for cache in caches
-        for command in cache.received
-        if command.fields.get("from") == drained.uid and command.at > limit
-    ]
-    outcomes = Counter(future.result()[0] if future.done() else "none" for future in requests)
-    before = sum(command.at < drained_at for command in drained.received)
-    record.say("requests:", dict(outcomes), "; calls at the bus:", bus.calls)
-    record.say(
-        f"{drained.uid} got {before} commands before it drained, and {len(late)} later than "
-        f"{TOLD_AFTER + GRACE + TOLERANCE:.2f} s after that; the last one {max(late, default=0.0):.2f} s after"
-    )
-    if not before:
-        raise CannotRun("the cache got nothing before it drained")
-    return not late
+    twice = {once: runs for once, runs in archive.runs.items() if len(runs) > 1}
+    record.say("orders:", dict(outcomes), "; refusals said to come back after", sorted(set(waits)), "ms")
+    for once, runs in twice.items():
+        record.say(f"order {once} was run {len(runs)} times, {runs[-1] - runs[0]:.3f} s apart")
+    return not twice
 
 
 play(str(Path(__file__).parent), case)
