Review: a script that is told to end leaves no front behind

The fronts of a case are ended also when it is stopped from outside or could not run; tried with SIGTERM, after which no front ran and the status was 2.

--- a/review/shared/standins.py
+++ b/review/shared/standins.py
@@ -511,6 +511,8 @@
 class Front:
     """A front, started by the `run` line of the deploy file."""
 
+    running: "list[Front]" = []  # fronts whose processes have to be ended
+
     def __init__(self, record: Record, name: str, folder: Path) -> None:
         self.record, self.name = record, name
         self.folder = folder / name
@@ -551,6 +553,7 @@
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdout=self.log, stderr=self.log
         )
+        Front.running.append(self)
         self.record("front", self.name, "started, process", self.process.pid)
         for _ in range(300):
             await asyncio.sleep(0.1)
@@ -581,6 +584,10 @@
         self.process.send_signal(number)
 
     async def end(self) -> None:
+        """End the process, if it runs, and add its log to the record; does nothing when called again."""
+        if self not in Front.running:
+            return
+        Front.running.remove(self)
         if self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(signal.SIGCONT)
@@ -596,10 +603,21 @@
     """Run a case: `case(record, temporary folder)` returns whether the rule held."""
     record = Record(Path(folder))
     record("trouble", "on" if TROUBLE else "off")
+
+    async def play_and_end(temporary: str) -> bool:
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        try:
+            return await asyncio.wait_for(case(record, Path(temporary)), seconds)
+        finally:
+            for front in list(Front.running):
+                await front.end()
+
     try:
         with tempfile.TemporaryDirectory() as temporary:
-            held = asyncio.run(asyncio.wait_for(case(record, Path(temporary)), seconds))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+            held = asyncio.run(play_and_end(temporary))
+    except (CannotRun, asyncio.CancelledError, asyncio.TimeoutError, OSError) as error:
         record.say("could not run:", repr(error))
         sys.exit(2)
     record.say("rule held" if held else "rule broken")
