--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,5 @@
 # ruff: noqa
-"""Case 1: clients that send many commands at once make a front exceed its memory limit, and it is killed."""
+"""Case 1: bad clients that send hundreds of requests at once take a front over its memory limit."""
 
 import sys
 from collections import Counter
@@ -9,17 +9,19 @@
 
 from standins import *
 
-MEMORY_MB = 80
+MEMORY_MB = 96
 SOCKETS = 608
-CONNECTIONS = 50  # of the 202 that a third of the descriptor limit allows
-OPEN_AT_ONCE = 32  # requests; what the protocol page allows on a connection
+BAD_CLIENTS = 25  # each with one connection
+REQUESTS = 200  # that each of them sends at once
 BODY = 48_000  # bytes; what the protocol page allows for a write
 REGULAR_INTERVAL = 0.05  # seconds between two requests of the regular clients
-AFTER = 2.0  # seconds of regular traffic before and after the burst
+ORDERS = 17  # every so many of them are an order: 5.9 %
+BEFORE = 2.0  # seconds of regular traffic before the bad clients come
+AFTER = 4.0  # seconds of regular traffic from then on
 
 
-def order(**changes: str) -> dict[str, str]:
-    fields = {
+def order() -> dict[str, str]:
+    return {
         "class": "order-prints",
         "id": request_id(),
         "wait": "3000",
@@ -29,7 +31,6 @@
         "batch": "17",
         "kb": "48",
     }
-    return fields | changes
 
 
 def clip(number: int) -> dict[str, str]:
@@ -68,19 +69,26 @@
             await asyncio.sleep(0.002)
 
 
-async def send_many(record: Record, front: Front, number: int, results: Counter) -> None:
-    """Play one client: 32 requests at once or, without the disruption, one after the other."""
-    client = await Client(record, f"many-{number}").connect(front.port)
-    if TROUBLE:
-        futures = [client.request(order(), b"x" * BODY) for _ in range(OPEN_AT_ONCE)]
-        record("client", client.name, "has sent", OPEN_AT_ONCE, "requests at once")
-        for future in futures:
-            results[(await future)[0]] += 1
-    else:
-        for _ in range(OPEN_AT_ONCE):
-            results[(await client.request(order(), b"x" * BODY))[0]] += 1
-    record("client", client.name, "is done")
-    client.close()
+async def send_many(record: Record, front: Front, number: int, sent: Counter) -> None:
+    """Play a bad client: it sends hundreds of requests at once, reads whatever it is sent, and goes."""
+    reader, writer = await asyncio.open_connection(HOST, front.port)
+
+    async def read_all() -> None:
+        with contextlib.suppress(ConnectionError):
+            while await reader.read(1 << 16):
+                pass
+
+    reading = asyncio.create_task(read_all())
+    try:
+        for seqid in range(1, REQUESTS + 1):
+            writer.write(process_frame(seqid, order(), b"x" * BODY))
+            await writer.drain()
+            sent[number] += 1
+        await asyncio.wait_for(reading, 3.0)
+    except (ConnectionError, asyncio.TimeoutError):
+        pass
+    record("bad client", number, "has sent", sent[number], "requests and goes")
+    writer.close()
 
 
 async def case(record: Record, folder: Path) -> bool:
@@ -102,21 +110,27 @@
     platform = Platform(record, front)
     watcher = asyncio.create_task(platform.watch())
     regular: list[asyncio.Future] = []
-    many: Counter = Counter()
+    sent: Counter = Counter()
     try:
         client = await Client(record, "regular").connect(front.port)
 
         async def send_regular(seconds: float) -> None:
             end = time.monotonic() + seconds
             while time.monotonic() < end and not client.is_ended:
-                regular.append(client.request(clip(len(regular))))
+                if len(regular) % ORDERS:
+                    regular.append(client.request(clip(len(regular))))
+                else:
+                    regular.append(client.request(order(), b"x" * BODY))
                 await asyncio.sleep(REGULAR_INTERVAL)
 
-        await send_regular(AFTER)
+        await send_regular(BEFORE)
         record("regular use of memory:", platform.peak_kb, "kB")
-        burst = [asyncio.create_task(send_many(record, front, number, many)) for number in range(CONNECTIONS)]
+        bad = []
+        if TROUBLE:
+            bad = [asyncio.create_task(send_many(record, front, n, sent)) for n in range(BAD_CLIENTS)]
         await send_regular(AFTER)
-        await asyncio.wait(burst, timeout=20)
+        if bad:
+            await asyncio.wait(bad, timeout=20)
         await asyncio.wait(regular, timeout=6)
     finally:
         watcher.cancel()
@@ -126,7 +140,7 @@
         f"limit {MEMORY_MB * 1024} kB, used at most {platform.peak_kb} kB; killed: {platform.has_killed}"
     )
     record.say("requests of the regular client:", dict(outcomes))
-    record.say("requests of the clients that send many:", dict(many))
+    record.say(f"bad clients: {len(sent)}, which sent {sent.total()} requests")
     return not platform.has_killed
 
 
