--- a/review/test_cases.py
+++ b/review/test_cases.py
@@ -18,7 +18,7 @@
     assert played.returncode == HELD, played.stdout + played.stderr
 
 
-def test_writes_sent_at_once_do_not_take_a_front_over_its_memory_limit() -> None:
+def test_hundreds_of_writes_sent_at_once_do_not_take_a_front_over_its_memory_limit() -> None:
     """Case 1."""
     play(1)
 
