Bound the memory that open requests hold by the memory limit, shared among clients

While the archive does not answer, clients that send many writes take the front over its limit, and with the kill everybody's requests end unanswered.

Cause: `Admission._admit` counts requests, not bytes, and does not ask who holds them.

Change: `routing/memory_budget.py`, named under `policy`: half of the limit above 32 MiB, an eighth of the limit at least, is for open requests, each counted with its body and 8 KiB. A request is rejected with Retry-After if its connection would then hold more than is free (the dynamic threshold of shared-memory switches), so a few connections that send without limit take equal parts and leave as much to the others; requests over 12 KiB leave a quarter of the budget to small ones. Bytes return when the body is freed, which is when the request is closed, and when the request leaves the table. New counters: `requests over the memory limit`, and `requests N kB at most` in the counters line.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,7 +1,7 @@
-"""Guards against requests that stay in memory after they have ended.
+"""Guards against a front that is killed because requests take more memory than its limit allows.
 
 A request that is part of a reference cycle is freed only when the garbage collector finds the cycle, after
-thousands of further requests. With bodies of 48,000 bytes, they took a front over its memory limit.
+thousands of further requests. The bodies of open requests, 48,000 bytes each, need a bound of their own.
 """
 
 import gc
@@ -12,15 +12,17 @@
 from fronts import FrontHarness, give_up, process
 
 from weldbend.front.open_requests import OpenRequest
+from weldbend.routing.memory_budget import REQUEST_SIZE, MemoryBudget, max_request_memory
 from weldbend.routing.requests import Request
 
 REQUESTS = 20
-BODY_SIZE = 40_000  # bytes
+BODY_SIZE = 48_000  # bytes; the longest body of a write
+MEBIBYTE = 1 << 20
 
 
-def send_orders(harness, client):
+def send_orders(harness, client, first=1):
     """Send writes with a body, which are passed on to the origin."""
-    for n in range(1, REQUESTS + 1):
+    for n in range(first, first + REQUESTS):
         order = {"class": "order", "once": "ab", "key": f"{n:016x}"}
         client.dataReceived(process(n, b"x" * BODY_SIZE, **order))
     harness.advance()
@@ -122,3 +124,48 @@
     freed = held - tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     assert len(harness.dispatcher.requests) == REQUESTS and freed > 0.9 * REQUESTS * BODY_SIZE
+
+
+def test_the_bodies_of_open_requests_stay_within_the_memory_for_requests():
+    """200 clients send 20 writes each at once, 192 MB in all, while the origin does not answer."""
+    limits = {"cores": 1.0, "memory_mb": 64, "sockets": 1024}
+    harness = FrontHarness(limits=limits, open_cap=20_000)
+    memory = harness.front.context.memory
+    for number in range(200):
+        send_orders(harness, harness.connect_client(), first=REQUESTS * number + 1)
+    open_requests = harness.dispatcher.requests.by_id
+    held = sum(len(request.body) for request in open_requests.values())
+    assert memory.limit / 2 < held < memory.used <= memory.limit <= 16 * MEBIBYTE
+    rejected = sum(line.endswith("throttled {'after': '1000'}") for line in harness.trace)
+    assert rejected == harness.counts["requests over the memory limit"] == 200 * REQUESTS - len(open_requests)
+    harness.send(harness.connect_client(), *(process(n) for n in range(9001, 9009)))
+    assert len(open_requests) == 200 * REQUESTS - rejected + 8  # reads of another client are admitted
+    harness.advance(9.0)
+    assert not open_requests and memory.used == 0
+
+
+class Connection:
+    held_memory = 0
+
+
+@pytest.mark.parametrize("memory_mb", [32, 64, 80, 96, 192])
+def test_clients_that_send_large_requests_without_limit_hold_equal_parts_of_the_budget(memory_mb):
+    """One part stays free for large requests of others, and a quarter of the budget for small ones."""
+    budget = MemoryBudget(max_request_memory(memory_mb * MEBIBYTE))
+    connections = [Connection() for _ in range(25)]
+    while any([budget.reserve(connection, BODY_SIZE) for connection in connections]):
+        pass
+    part = budget.limit * 0.75 / 26
+    assert all(part - BODY_SIZE < c.held_memory <= part + BODY_SIZE for c in connections)
+    assert budget.used == sum(c.held_memory for c in connections)
+    assert part < BODY_SIZE or budget.reserve(Connection(), BODY_SIZE)
+    small = [budget.reserve(Connection(), REQUEST_SIZE) for _ in range(budget.limit // 4 // REQUEST_SIZE)]
+    assert all(small)
+
+
+def test_clients_that_send_small_requests_without_limit_leave_memory_for_others():
+    budget = MemoryBudget(max_request_memory(64 * MEBIBYTE))
+    connections = [Connection() for _ in range(100)]
+    while any([budget.reserve(connection, REQUEST_SIZE) for connection in connections]):
+        pass
+    assert all(budget.reserve(Connection(), REQUEST_SIZE) for _ in range(15))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,6 +6,7 @@
 
 import json
 import re
+import selectors
 import signal
 import socket
 import subprocess
@@ -238,3 +239,53 @@
             resource.close()
     finally:
         program.kill_and_wait()
+
+
+def send_all(address, frames_of_clients):
+    """Send frames on one connection for each client, all at once, and return the streams of the answers."""
+    selector = selectors.DefaultSelector()
+    clients = []
+    for frames in frames_of_clients:
+        clients.append(socket.create_connection(address, TIMEOUT))
+        clients[-1].setblocking(False)
+        selector.register(clients[-1], selectors.EVENT_WRITE, memoryview(b"".join(frames)))
+    while selector.get_map():
+        for key, _ in selector.select(TIMEOUT):
+            rest = key.data[key.fileobj.send(key.data) :]
+            if rest:
+                selector.modify(key.fileobj, selectors.EVENT_WRITE, rest)
+            else:
+                selector.unregister(key.fileobj)
+    for client in clients:
+        client.settimeout(TIMEOUT)
+    return [client.makefile("rb") for client in clients]
+
+
+def anonymous_memory(process_id):
+    """Return the bytes of memory of a process that belong to no file."""
+    status = Path(f"/proc/{process_id}/status").read_text()
+    return int(re.search(r"RssAnon:\s+(\d+) kB", status)[1]) * 1024
+
+
+def test_a_burst_of_writes_that_stay_open_keeps_the_process_within_its_memory_limit(site):
+    """60 clients send 31 writes of 48,000 bytes each, 89 MB in all, and the origin does not answer."""
+    path, address, cache = site
+    memory_limit = 64 << 20  # bytes
+    origin = target("o1", "origin", "h", port=cache.getsockname()[1])
+    listen = f"127.0.0.1:{address[1]}"
+    limits = {"cores": 1.0, "memory_mb": memory_limit >> 20, "sockets": 256}
+    bus = json.loads(path.read_text())["bus"]
+    path.write_text(configuration((origin,), limits=limits, listen=listen, bus=bus, open_cap=20_000))
+    program = FrontProcess(path)
+    try:
+        order = {"class": "order", "once": "ab"}
+        frames = [
+            [*(process(n, b"x" * 48_000, id=f"{31 * k + n:016x}", **order) for n in range(1, 32)), probe(32)]
+            for k in range(60)
+        ]
+        for client in send_all(address, frames):
+            while read_answer(client) != "32 probe: good True":  # the front has handled all calls before it
+                pass
+        assert anonymous_memory(program.process.pid) < memory_limit
+    finally:
+        program.kill_and_wait()
--- a/weldbend/clients/request.py
+++ b/weldbend/clients/request.py
@@ -10,7 +10,13 @@
 
 
 class RequestSource(Protocol):
-    """The interface of the connection on which a request was received."""
+    """The interface of the connection on which a request was received.
+
+    Attributes:
+        held_memory: Bytes that its requests hold.
+    """
+
+    held_memory: int
 
     def finish_request(self, request: "ClientRequest", answer: bytes) -> None:
         """Send the answer to a request, unless the request was cancelled."""
--- a/weldbend/front/admission.py
+++ b/weldbend/front/admission.py
@@ -1,4 +1,4 @@
-"""Admission of client requests: validation, the limit on open requests, and the event for the router."""
+"""Admission of client requests: validation, limits on open requests, and the event for the router."""
 
 from weldbend.clients.request import ClientRequest
 from weldbend.front import request_codec
@@ -8,6 +8,7 @@
 from weldbend.front.open_requests import OpenRequest, RequestTable
 from weldbend.front.request_codec import InvalidRequestError, ParsedRequest
 from weldbend.routing.events import RequestReceived
+from weldbend.routing.memory_budget import REQUEST_SIZE, MemoryReservation
 from weldbend.thrift.messages import Process
 
 DUPLICATE_ID = "the id of an open download"  # sent to clients, part of the wire protocol
@@ -63,7 +64,12 @@
             self.context.counters.counts["requests over open_cap"] += 1
             client_request.answer_rejected(site.settings.max_retry_after)
             return
-        request = self._open(client_request, parsed, call.body)
+        memory = self.context.memory.reserve(client_request.client, REQUEST_SIZE + len(call.body))
+        if memory is None:
+            self.context.counters.counts["requests over the memory limit"] += 1
+            client_request.answer_rejected(site.settings.max_retry_after)
+            return
+        request = self._open(client_request, parsed, call.body, memory)
         self.context.counters.counts["requests"] += 1
         self.queue.post(self._request_received(request))
 
@@ -78,11 +84,15 @@
         if open_request.client is client_request.client:
             client_request.client.ban("clients with two requests under one id")
 
-    def _open(self, client_request: ClientRequest, parsed: ParsedRequest, body: bytes) -> OpenRequest:
+    def _open(
+        self, client_request: ClientRequest, parsed: ParsedRequest, body: bytes, memory: MemoryReservation
+    ) -> OpenRequest:
         client_request.request_id = self.requests.next_id()
         deadline = client_request.received_at + parsed.timeout
         idempotency = self.context.site.settings.classes[parsed.class_name].idempotency
-        request = OpenRequest(client_request.request_id, parsed, body, client_request, deadline, idempotency)
+        request = OpenRequest(
+            client_request.request_id, parsed, body, memory, client_request, deadline, idempotency
+        )
         self.requests.add(request)
         attempts = self.attempts
         request.timers.append(
--- a/weldbend/front/configuration.py
+++ b/weldbend/front/configuration.py
@@ -11,6 +11,7 @@
 from weldbend.event_bus.errors import InvalidEventError
 from weldbend.event_bus.events import SequencedEvent, parse_known_events
 from weldbend.idle_connections.policy import ConnectionSettings
+from weldbend.routing.memory_budget import MEBIBYTE, max_request_memory
 from weldbend.routing.settings import Role, SiteSettings
 from weldbend.site_settings import cache_roles, read_site_settings
 
@@ -83,6 +84,7 @@
         max_descriptors: maximum number of file descriptors of the process.
         max_clients: maximum number of client connections.
         max_unsent_bytes: bytes buffered for slow readers beyond which reading from caches pauses.
+        max_request_bytes: bytes that requests may hold together; beyond them, requests are rejected.
         client_settings: settings of client connections, from the installation file.
         fleet: fleet settings of the installation file; None without a fleet. Typed as Any, since the module
             of their type is imported only if there is a fleet.
@@ -104,6 +106,7 @@
     max_descriptors: int
     max_clients: int
     max_unsent_bytes: int
+    max_request_bytes: int
     client_settings: ConnectionSettings = DEFAULT_CONNECTION_SETTINGS
     fleet: Any = None
 
@@ -153,6 +156,7 @@
     settings = read_site_settings(raw_settings)
     host, _, port = raw["listen"].rpartition(":")
     descriptors = int(limits["sockets"])
+    memory_limit = int(limits["memory_mb"]) * MEBIBYTE
     # Client connections get all descriptors that are not set aside for caches and the process itself, and at
     # least half of the limit.
     max_clients = max(descriptors // 2, descriptors - CACHE_DESCRIPTORS - RESERVED_DESCRIPTORS)
@@ -172,5 +176,6 @@
         cache_limits=_cache_limits(caps, settings, descriptors - max_clients - RESERVED_DESCRIPTORS),
         max_descriptors=descriptors,
         max_clients=max_clients,
-        max_unsent_bytes=int(limits["memory_mb"]) * 2**20 // MEMORY_FRACTION,
+        max_unsent_bytes=memory_limit // MEMORY_FRACTION,
+        max_request_bytes=max_request_memory(memory_limit),
     )
--- a/weldbend/front/context.py
+++ b/weldbend/front/context.py
@@ -10,6 +10,7 @@
 from weldbend.front.counters import FrontCounters
 from weldbend.front.timers import ReactorClock, Timers
 from weldbend.routing.events import PossibleExecution
+from weldbend.routing.memory_budget import MemoryBudget
 
 
 class Reactor(ReactorClock, Protocol):
@@ -68,6 +69,7 @@
         clock: clock of the front.
         timers: timers of the front.
         counters: counters of requests, attempts and errors.
+        memory: account of the bytes that requests hold.
         timestamps: converter of Unix times from other machines.
         fleet: interface to the fleet; None if the installation file configures no fleet.
     """
@@ -77,5 +79,6 @@
     clock: Clock
     timers: Timers
     counters: FrontCounters
+    memory: MemoryBudget
     timestamps: RemoteTimestamps = field(default_factory=RemoteTimestamps)
     fleet: FleetPeers | None = None
--- a/weldbend/front/counters_log.py
+++ b/weldbend/front/counters_log.py
@@ -21,6 +21,7 @@
     "idle {idle_connections} ({max_idle_connections} at most), "
     "{idle_wakeups} wakeups, {max_wakeup_delay_ms} ms late at most; "
     "cache connections {cache_connections} ({max_cache_connections} at most); "
+    "requests {max_request_kb} kB at most; "
     "unsent answers {max_unsent_kb} kB at most; timers {max_timer_delay_ms} ms late at most, "
     "event-loop iterations {max_iteration_ms} ms at most; bus disconnects {bus_disconnects}; "
     "anomalies {anomalies}; violations {violations}"
@@ -43,6 +44,7 @@
         """Write the counters line, and let further internal errors be logged again."""
         fields = self._process_fields() | self._connection_fields()
         fields |= {
+            "max_request_kb": self.context.memory.max_used // 1000,
             "max_unsent_kb": self.gateway.max_unsent_bytes // 1000,
             "max_timer_delay_ms": round(self.context.timers.max_delay * MILLISECONDS, 1),
             "max_iteration_ms": round(self.dispatcher.queue.max_iteration * MILLISECONDS, 1),
--- a/weldbend/front/open_requests.py
+++ b/weldbend/front/open_requests.py
@@ -6,6 +6,7 @@
 from weldbend.clients.request import ClientRequest
 from weldbend.front.request_codec import ParsedRequest
 from weldbend.front.timers import Timer
+from weldbend.routing.memory_budget import MemoryReservation
 from weldbend.routing.settings import Idempotency
 
 
@@ -17,6 +18,7 @@
         id: identifier within this front, never reused.
         parsed: parsed fields of the request.
         body: payload, which is passed on to caches unchanged; empty once the request is closed.
+        memory: memory reserved for the request; its body is no longer counted once the request is closed.
         client_request: handle that takes the answer.
         deadline: deadline in seconds of the monotonic clock.
         idempotency: idempotency of its class in the settings under which it was accepted.
@@ -29,6 +31,7 @@
     id: str
     parsed: ParsedRequest
     body: bytes
+    memory: MemoryReservation
     client_request: ClientRequest
     deadline: float
     idempotency: Idempotency
@@ -44,15 +47,18 @@
     def close(self) -> None:
         """Mark the request as closed, and free its body: nothing more is sent for it."""
         self.is_closed = True
+        self.memory.resize(self.memory.size - len(self.body))
         self.body = b""
 
-    def release_attempts(self) -> None:
-        """Drop the attempts and timers, which refer to this request, once it has left the table.
+    def release(self) -> None:
+        """Return the memory, and drop the attempts and timers, which refer to this request.
 
-        Without this, each finished request would be a reference cycle. Only the garbage collector would free
-        it, after an unbounded number of further requests. There is no known side effect, since every attempt
-        has ended and no event refers to the request any more.
+        Called once the request has left the table. If the attempts stayed, each finished request would be a
+        reference cycle, which only the garbage collector frees, after an unbounded number of further
+        requests. There is no known side effect, since every attempt has ended and no event refers to the
+        request any more.
         """
+        self.memory.release()
         self.attempts.clear()
         self.timers.clear()
 
@@ -116,4 +122,4 @@
                 self._finished.append(request)
             elif not request.has_attempt_in_flight():
                 self.by_id.pop(request.id, None)
-                request.release_attempts()
+                request.release()
--- a/weldbend/front/server.py
+++ b/weldbend/front/server.py
@@ -30,6 +30,7 @@
 from weldbend.front.dispatcher import Dispatcher
 from weldbend.front.timers import Timers
 from weldbend.front.twisted_log import TwistedLogObserver
+from weldbend.routing.memory_budget import MemoryBudget
 
 if TYPE_CHECKING:
     from weldbend.fleet.front_adapter import FleetAdapter
@@ -69,7 +70,8 @@
         self.read_new_site = read_new_site
         self.clock = clock or Clock()
         self.timers = Timers(reactor, self.clock)
-        self.context = FrontContext(reactor, site, self.clock, self.timers, FrontCounters())
+        memory = MemoryBudget(site.max_request_bytes)
+        self.context = FrontContext(reactor, site, self.clock, self.timers, FrontCounters(), memory)
         self.dispatcher = Dispatcher(self.context)
         self.gateway = ClientGateway(self.context, self.dispatcher, self.is_serving)
         self.listener = self.gateway.listener
