Count incomplete calls in the memory for requests, and discard those without room

Cause: the buffer of a client connection holds a read of 65,536 bytes beside an incomplete call and kept the size it once had, 122,880 bytes as soon as calls came one after another, up to 195,460. Nothing bounded the sum over 384 to 896 connections.

Change: `clients/incoming_calls.py` takes reading out of `ClientConnection`. Memory for the whole of an incomplete call over 4 KiB is reserved when its length is known, from the budget and by the rule of open requests; without it the call is discarded as it arrives, all but its header, and then rejected with Retry-After, so that no client is left without its answer. A buffer that is a quarter empty is trimmed.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -9,7 +9,7 @@
 from collections import Counter
 
 import pytest
-from fronts import FrontHarness, give_up, process
+from fronts import FrontHarness, give_up, message, probe, process
 
 from weldbend.front.open_requests import OpenRequest
 from weldbend.routing.memory_budget import REQUEST_SIZE, MemoryBudget, max_request_memory
@@ -18,6 +18,7 @@
 REQUESTS = 20
 BODY_SIZE = 48_000  # bytes; the longest body of a write
 MEBIBYTE = 1 << 20
+SMALL_LIMITS = {"cores": 1.0, "memory_mb": 64, "sockets": 1024}
 
 
 def send_orders(harness, client, first=1):
@@ -128,8 +129,7 @@
 
 def test_the_bodies_of_open_requests_stay_within_the_memory_for_requests():
     """200 clients send 20 writes each at once, 192 MB in all, while the origin does not answer."""
-    limits = {"cores": 1.0, "memory_mb": 64, "sockets": 1024}
-    harness = FrontHarness(limits=limits, open_cap=20_000)
+    harness = FrontHarness(limits=SMALL_LIMITS, open_cap=20_000)
     memory = harness.front.context.memory
     for number in range(200):
         send_orders(harness, harness.connect_client(), first=REQUESTS * number + 1)
@@ -169,3 +169,63 @@
     while any([budget.reserve(connection, REQUEST_SIZE) for connection in connections]):
         pass
     assert all(budget.reserve(Connection(), REQUEST_SIZE) for _ in range(15))
+
+
+def connect_clients_that_stop_in_a_call(harness, count):
+    """Let each client send all of a write but its last byte."""
+    for number in range(count):
+        order = process(1, b"x" * BODY_SIZE, id=f"{number:016x}", **{"class": "order", "once": "ab"})
+        client = harness.connect_client()
+        client.dataReceived(order[:40])
+        client.dataReceived(order[40:-1])
+
+
+def test_incomplete_calls_of_many_clients_stay_within_the_memory_for_requests():
+    harness = FrontHarness(limits=SMALL_LIMITS)
+    connect_clients_that_stop_in_a_call(harness, 500)
+    memory = harness.front.context.memory
+    buffered = sum(len(client.incoming.ring.data) for client, _ in harness.clients)
+    assert memory.limit / 2 < buffered < 1.1 * memory.limit and memory.used <= memory.limit
+    harness.send(harness.connect_client(), process(9001))
+    assert harness.counts["requests"] == 1  # a read of another client is admitted
+    for client, _ in harness.clients:
+        client.transport.loseConnection()
+    harness.advance()
+    assert memory.used == 0
+
+
+@pytest.mark.parametrize("piece_size", [1, 7, 5000, 65_536])
+def test_a_write_without_memory_is_discarded_and_answered_and_the_next_calls_are_handled(piece_size):
+    harness = FrontHarness(limits=SMALL_LIMITS)
+    connect_clients_that_stop_in_a_call(harness, 300)
+    client = harness.connect_client()
+    order = {"class": "order", "once": "ab"}
+    calls = [process(1, b"x" * BODY_SIZE, **order), process(2), give_up(2), probe(3), process(4)]
+    data = b"".join(calls)
+    for start in range(0, len(data), piece_size):
+        client.dataReceived(data[start : start + piece_size])
+    harness.advance()
+    answers = [line for line in harness.trace if line.startswith("client 300")]
+    assert answers == ["client 300 < 1 throttled {'after': '1000'}", "client 300 < 3 probe: good True"]
+    assert harness.counts["requests"] == 2 and list(client.open_requests) == [4]
+    assert harness.counts["requests over the memory limit"] == 1
+
+
+def test_a_client_that_stops_in_a_discarded_call_is_not_idle_and_is_disconnected():
+    harness = FrontHarness(limits=SMALL_LIMITS)
+    connect_clients_that_stop_in_a_call(harness, 300)
+    client = harness.clients[-1][0]
+    assert not client.incoming and not client.is_idle()  # its bytes were discarded
+    harness.advance(0.1)
+    assert not client.transport.disconnecting
+    for _ in range(25):  # 2.5 s; a call must be complete 2 s after its first byte
+        harness.advance(0.1)
+    assert client.transport.disconnecting and harness.front.context.memory.used == 0
+
+
+def test_a_long_call_of_another_method_is_a_violation_while_memory_is_short():
+    harness = FrontHarness(limits=SMALL_LIMITS)
+    connect_clients_that_stop_in_a_call(harness, 300)
+    client = harness.connect_client()
+    client.dataReceived(message(1, "mystery", 1, b"x" * 20_000)[:5000])
+    assert client.transport.disconnecting
--- a/tests/test_parking.py
+++ b/tests/test_parking.py
@@ -390,7 +390,7 @@
     harness = harness_with_parked_clients(2)
     # The parser of the first bytes raises an exception for client 0 only.
     monkeypatch.setattr(
-        "weldbend.clients.connection.next_frame", lambda *_: (_ for _ in ()).throw(RuntimeError("fault"))
+        "weldbend.clients.incoming_calls.next_frame", lambda *_: (_ for _ in ()).throw(RuntimeError("fault"))
     )
     harness.deliver(0, probe(2))
     monkeypatch.undo()
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -6,7 +6,7 @@
 from fronts import FrontHarness, process
 
 from weldbend.clients.arrival_times import MAX_MARKS, ArrivalTimes
-from weldbend.clients.connection import READ_SIZE
+from weldbend.clients.incoming_calls import READ_SIZE
 from weldbend.front.process_pause import ProcessPauseDetector
 from weldbend.thrift import messages
 
@@ -65,7 +65,7 @@
     pass_time(harness, 2.0)
     # Mark the filler's request 2 as cancelled and drop the buffered filler calls: request 3 is read next.
     client.cancelled_early.add(2)
-    client.incoming.skip(len(client.incoming))
+    client.incoming.clear()
     client.resumeProducing()
     harness.send(client, process(3))
     assert 3.85 <= sent_budget(harness, 3) <= 4.0 + SLACK
--- a/weldbend/buffers/ring.py
+++ b/weldbend/buffers/ring.py
@@ -9,6 +9,7 @@
 
 INITIAL_SIZE = 480  # bytes; holds a short call, and is served by the allocator for small objects (512 bytes)
 MAX_RETAINED_SIZE = 4096  # bytes that an empty ring keeps by default
+MAX_TRIMMED_FRACTION = 0.75  # content, as a fraction of the memory, up to which `trim` frees the rest
 
 
 class Ring:
@@ -87,6 +88,13 @@
             if len(self.data) > self.max_retained_size:
                 self.data = bytearray()
 
+    def trim(self) -> None:
+        """Free the memory that the content does not need, if that is at least a quarter of a large ring."""
+        is_large = len(self.data) > self.max_retained_size
+        if is_large and self.size <= MAX_TRIMMED_FRACTION * len(self.data):
+            self.data = bytearray(self.peek(self.size))
+            self.head = 0
+
     def read(self, count: int) -> bytes:
         """Remove and return the first `count` bytes."""
         data = self.peek(count)
--- a/weldbend/clients/connection.py
+++ b/weldbend/clients/connection.py
@@ -17,14 +17,14 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from weldbend.buffers.ring import Ring
 from weldbend.clients import misbehaviour
 from weldbend.clients.answer_writer import AnswerWriter
-from weldbend.clients.arrival_times import ArrivalTimes
+from weldbend.clients.incoming_calls import READ_SIZE, IncomingCalls, ReceivedCall, Reservation
 from weldbend.clients.interfaces import (
     AccessControl,
     BufferAccount,
     ClientTransport,
+    MemoryAccount,
     RequestHandler,
     Scheduler,
 )
@@ -32,15 +32,10 @@
 from weldbend.clients.request import ClientRequest
 from weldbend.idle_connections.connection_table import ConnectionRecord
 from weldbend.idle_connections.policy import ConnectionState
-from weldbend.invariants import anomalies, check_invariant
+from weldbend.invariants import anomalies
 from weldbend.thrift import messages
 from weldbend.thrift.errors import ThriftError
-from weldbend.thrift.framing import LENGTH_SIZE, next_frame, peek_small_frame
 
-READ_SIZE = 1 << 16  # bytes; the most that one read of a socket returns
-MAX_FRAME_SIZE = 48_000 + (1 << 14)  # bytes; the longest body and the fields of its call
-INCOMING_CAPACITY = MAX_FRAME_SIZE + LENGTH_SIZE + 2 * READ_SIZE  # bytes
-MAX_CANCELLATION_SIZE = 64  # bytes; large enough for any giveUp call, too small for any process call
 DISCARD_TIME = 0.25  # seconds for which a client may go on sending after this front's close
 MAX_DISCARDED = 1 << 20  # bytes that a client may still send after this front's close
 
@@ -58,7 +53,9 @@
         """Start or stop watching for the disconnect of a client while its socket is not read."""
 
 
-class ClientOwner(RequestHandler, ConnectionRegistry, BufferAccount, AccessControl, Scheduler, Protocol):
+class ClientOwner(
+    RequestHandler, ConnectionRegistry, BufferAccount, MemoryAccount, AccessControl, Scheduler, Protocol
+):
     """The interface of the front that a client connection uses."""
 
     def log_fault(self, where: str) -> None:
@@ -70,8 +67,7 @@
     """One live connection of a client. All times are seconds of the front's clock.
 
     Attributes:
-        incoming: Bytes read and not yet parsed.
-        arrivals: Arrival times of these bytes.
+        incoming: Bytes read, and the calls in them that were not handled.
         unread_since: Time since which bytes may be unread in the socket; None if the last read emptied it.
         writer: Sending direction of the connection.
         open_requests: Requests that wait for an answer, by sequence id.
@@ -99,18 +95,15 @@
     is_closing = False
     call_count = 0
     held_memory = 0
-    scanned_bytes = 0  # bytes of `incoming` already searched for cancellations
     discarded_bytes = 0
     active_at = 0.0
     call_started_at = 0.0
-    call_received_at = 0.0  # earliest possible arrival time of the last byte of the current call
     unread_since: float | None = None
     read_delay = 0.0  # seconds for which the bytes being read waited while other idle connections were woken
 
     def __init__(self, owner: ClientOwner) -> None:
         self.owner = owner
-        self.incoming = Ring(INCOMING_CAPACITY)
-        self.arrivals = ArrivalTimes()
+        self.incoming = IncomingCalls()
         self.writer = AnswerWriter(owner)
         self.open_requests: dict[int, ClientRequest] = {}
         self.violations = ViolationCounts()
@@ -163,10 +156,9 @@
                 self.transport.abortConnection()
             return
         self.active_at = self.owner.now()
-        if not self.incoming:
+        if self.incoming.is_empty():
             self.call_started_at = self.active_at
-        check_invariant(self.incoming.write(data) == len(data), "a client's ring has capacity for a read")
-        self.arrivals.add(len(data), self._earliest_arrival(len(data)))
+        self.incoming.write(data, self._earliest_arrival(len(data)))
         self.read_calls()
 
     def _earliest_arrival(self, count: int) -> float:
@@ -197,14 +189,11 @@
         self.is_reading = True
         try:
             while not self.is_draining and (self.is_finishing or not self.writer.queue):
-                data = next_frame(self.incoming, MAX_FRAME_SIZE)
-                if data is None:
-                    self.arrivals.forget_incomplete()
+                call = self.incoming.next(self._reserve)
+                if call is None:
                     break
                 self.call_started_at = self.active_at
-                self.call_received_at = self.arrivals.take(len(data) + LENGTH_SIZE)
-                self.scanned_bytes = max(self.scanned_bytes - len(data) - LENGTH_SIZE, 0)
-                self._handle_call(messages.read_call(data))
+                self._handle_call(call)
             if not self.is_draining:
                 self._scan_for_cancellations()
         except ThriftError:
@@ -217,8 +206,11 @@
                 self.violations.cancellations = 0
             self.new_requests.clear()
         if self.is_draining:
-            self.incoming.skip(len(self.incoming))
-        self._pause_reading(self.incoming.free() < READ_SIZE)
+            self.incoming.clear()
+        self._pause_reading(not self.incoming.has_capacity())
+
+    def _reserve(self, length: int) -> Reservation | None:
+        return self.owner.reserve_call(self, length)
 
     def _scan_for_cancellations(self) -> None:
         """Handle cancellations among buffered calls that are held back because the client reads no answers.
@@ -227,28 +219,15 @@
         cancellation that did not fit into the ring is found only once it is read from the socket. Handling
         cancellations before the calls that precede them has no known drawback.
         """
-        while found := peek_small_frame(self.incoming, self.scanned_bytes, MAX_CANCELLATION_SIZE):
-            end, data = found
-            if data is not None:
-                call = messages.read_call(data)
-                if isinstance(call, messages.GiveUp) and not self._cancel(call.seqid):
-                    self.cancelled_early.add(call.seqid)
-            self.scanned_bytes = end
-
-    def _handle_call(self, call: messages.Call) -> None:
+        for cancellation in self.incoming.cancellations():
+            if not self._cancel(cancellation.seqid):
+                self.cancelled_early.add(cancellation.seqid)
+
+    def _handle_call(self, call: ReceivedCall) -> None:
         self.call_count += 1
         match call:
-            case messages.Process(seqid) if seqid in self.open_requests:  # only one answer per sequence id
-                self.ban(misbehaviour.REUSED_SEQUENCE_ID)
-            case messages.Process() if len(self.open_requests) >= misbehaviour.MAX_OPEN_REQUESTS:
-                self.ban(misbehaviour.TOO_MANY_OPEN)
-            case messages.Process(seqid) if seqid in self.cancelled_early:
-                self.cancelled_early.discard(seqid)
-            case messages.Process(seqid):
-                request = ClientRequest(self, seqid, self.read_delay, self.call_received_at)
-                self.open_requests[seqid] = request
-                self.new_requests.add(request)
-                self.owner.handle_request(request, call)
+            case messages.Process() | messages.DiscardedCall():
+                self._handle_request(call)
             case messages.GiveUp(seqid):
                 self.cancelled_early.discard(seqid)
                 self._cancel(seqid)
@@ -260,6 +239,22 @@
                 self.send_answer(messages.application_exception(call))
                 self.count_invalid_call()
 
+    def _handle_request(self, call: messages.Process | messages.DiscardedCall) -> None:
+        if call.seqid in self.open_requests:  # only one answer per sequence id
+            self.ban(misbehaviour.REUSED_SEQUENCE_ID)
+        elif len(self.open_requests) >= misbehaviour.MAX_OPEN_REQUESTS:
+            self.ban(misbehaviour.TOO_MANY_OPEN)
+        elif call.seqid in self.cancelled_early:
+            self.cancelled_early.discard(call.seqid)
+        else:
+            request = ClientRequest(self, call.seqid, self.read_delay, self.incoming.received_at)
+            self.open_requests[call.seqid] = request
+            self.new_requests.add(request)
+            if isinstance(call, messages.Process):
+                self.owner.handle_request(request, call)
+            else:
+                self.owner.reject_discarded(request)
+
     def _cancel(self, seqid: int) -> bool:
         """Cancel the open request with this sequence id; return False if there is none."""
         request = self.open_requests.pop(seqid, None)
@@ -347,7 +342,7 @@
 
     def _continue(self) -> None:
         """Handle calls that were held back until an answer was sent; close if draining and done."""
-        if self.incoming and not (self.is_draining or self.is_lost):
+        if not (self.incoming.is_empty() or self.is_draining or self.is_lost):
             self.read_calls()
         self._close_if_done()
 
@@ -355,7 +350,7 @@
 
     def is_idle(self) -> bool:
         """Return whether no request is open, no byte of a call is buffered and no answer is pending."""
-        return not (self.open_requests or self.incoming or self.writer.has_pending())
+        return self.incoming.is_empty() and not (self.open_requests or self.writer.has_pending())
 
     def can_become_idle(self) -> bool:
         """Return whether `record` has all state of the connection, so that it can move to the idle pool."""
@@ -388,8 +383,9 @@
         )
         if is_busy:
             self.active_at = now
+        has_partial_call = not self.incoming.is_empty()
         return ConnectionState(
-            is_busy, bool(self.incoming), self.call_count, self.active_at, self.call_started_at
+            is_busy, has_partial_call, self.call_count, self.active_at, self.call_started_at
         )
 
     # Closing.
@@ -414,7 +410,7 @@
         """
         if not (self.is_closing or self.is_lost):
             self.is_draining = self.is_closing = True
-            self.incoming.skip(len(self.incoming))
+            self.incoming.clear()
             self._pause_reading(False)
             self.transport.unregisterProducer()
             self.transport.loseWriteConnection()
@@ -429,6 +425,7 @@
         self.is_lost = True
         self.owner.watch_hangup(self, False)
         self.writer.discard()
+        self.incoming.clear()
         requests = list(self.open_requests.values())
         self.open_requests = {}
         for request in requests:
--- a/weldbend/clients/interfaces.py
+++ b/weldbend/clients/interfaces.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from weldbend.clients.request import ClientRequest
+from weldbend.clients.incoming_calls import Reservation
+from weldbend.clients.request import ClientRequest, RequestSource
 from weldbend.thrift.messages import Process
 
 
@@ -21,6 +22,9 @@
     def cancel_request(self, request: ClientRequest) -> None:
         """Stop processing a request whose client no longer waits for an answer."""
 
+    def reject_discarded(self, request: ClientRequest) -> None:
+        """Reject a request whose fields and body were discarded because memory was too short."""
+
     def is_serving(self) -> bool:
         """Return whether the port is open and no shutdown has begun, as health checks of clients ask."""
 
@@ -32,6 +36,13 @@
         """Record a change in the number of bytes that are buffered for clients."""
 
 
+class MemoryAccount(Protocol):
+    """The account of the memory that requests hold."""
+
+    def reserve_call(self, holder: RequestSource, length: int) -> Reservation | None:
+        """Reserve memory for a call of `length` bytes that is being received; None if there is not enough."""
+
+
 class AccessControl(Protocol):
     """The access control that decides which addresses may connect."""
 
--- a/weldbend/front/admission.py
+++ b/weldbend/front/admission.py
@@ -39,6 +39,11 @@
             if not client_request.is_answered:
                 client_request.answer_failed()
 
+    def reject_for_memory(self, client_request: ClientRequest) -> None:
+        """Reject a request because its client would hold too much memory."""
+        self.context.counters.counts["requests over the memory limit"] += 1
+        client_request.answer_rejected(self.context.site.settings.max_retry_after)
+
     def cancel(self, client_request: ClientRequest) -> None:
         """Cancel a request whose client no longer waits for the answer."""
         if request := self.requests.by_id.get(client_request.request_id):
@@ -66,8 +71,7 @@
             return
         memory = self.context.memory.reserve(client_request.client, REQUEST_SIZE + len(call.body))
         if memory is None:
-            self.context.counters.counts["requests over the memory limit"] += 1
-            client_request.answer_rejected(site.settings.max_retry_after)
+            self.reject_for_memory(client_request)
             return
         request = self._open(client_request, parsed, call.body, memory)
         self.context.counters.counts["requests"] += 1
--- a/weldbend/front/client_gateway.py
+++ b/weldbend/front/client_gateway.py
@@ -4,10 +4,11 @@
 
 from weldbend.clients.connection import ClientConnection
 from weldbend.clients.listener import Listener
-from weldbend.clients.request import ClientRequest
+from weldbend.clients.request import ClientRequest, RequestSource
 from weldbend.front.context import FrontContext
 from weldbend.front.dispatcher import Dispatcher
 from weldbend.front.process_pause import HEARTBEAT_INTERVAL, ProcessPauseDetector
+from weldbend.routing.memory_budget import MemoryReservation
 from weldbend.thrift.messages import Process
 
 MAINTENANCE_INTERVAL = HEARTBEAT_INTERVAL  # seconds between two maintenance rounds of client connections
@@ -63,6 +64,14 @@
         """Handle a completely received request."""
         self.dispatcher.admission.handle(request, call)
 
+    def reject_discarded(self, request: ClientRequest) -> None:
+        """Reject a request whose fields and body were discarded because memory was too short."""
+        self.dispatcher.admission.reject_for_memory(request)
+
+    def reserve_call(self, holder: RequestSource, length: int) -> MemoryReservation | None:
+        """Reserve memory for a call of `length` bytes that is being received; None if there is not enough."""
+        return self.context.memory.reserve_call(holder, length)
+
     def cancel_request(self, request: ClientRequest) -> None:
         """Cancel a request whose client no longer waits for the answer."""
         self.dispatcher.admission.cancel(request)
--- a/weldbend/routing/memory_budget.py
+++ b/weldbend/routing/memory_budget.py
@@ -10,6 +10,7 @@
 MIN_REQUEST_FRACTION = 0.125  # fraction of the whole limit that requests may hold, however low the limit is
 REQUEST_SIZE = 8 << 10  # bytes that an open request takes in addition to its body
 MAX_SMALL_SIZE = 12 << 10  # bytes of a request, up to which it may use the whole budget
+MAX_UNCOUNTED_CALL = 4 << 10  # bytes of a call that is buffered without a reservation while it arrives
 LARGE_FRACTION = 0.75  # fraction of the budget up to which larger requests are admitted
 
 
@@ -57,7 +58,7 @@
 
 
 class MemoryBudget:
-    """The bytes that the requests of all clients hold together.
+    """The bytes that the requests of all clients hold together, open ones and those being received.
 
     Attributes:
         limit: number of bytes that they may hold.
@@ -75,6 +76,12 @@
         self.used += change
         self.max_used = max(self.max_used, self.used)
 
+    def reserve_call(self, holder: MemoryHolder, length: int) -> MemoryReservation | None:
+        """Reserve memory for a call of `length` bytes while it arrives, or return None as `reserve` does."""
+        if length <= MAX_UNCOUNTED_CALL:
+            return MemoryReservation(self, holder, 0)
+        return self.reserve(holder, length)
+
     def reserve(self, holder: MemoryHolder, size: int) -> MemoryReservation | None:
         """Reserve memory for a request, or return None if its client must not hold so much now.
 
--- a/weldbend/thrift/errors.py
+++ b/weldbend/thrift/errors.py
@@ -90,3 +90,12 @@
         super().__init__(f"{method} without {argument}")
         self.method = method
         self.argument = argument
+
+
+class LongCallError(InvalidMessageError):
+    """A call of a method that has no long arguments, in a long frame."""
+
+    def __init__(self, name: str, length: int) -> None:
+        super().__init__(f"call of {name!r} with {length} bytes")
+        self.name = name
+        self.length = length
--- a/weldbend/thrift/framing.py
+++ b/weldbend/thrift/framing.py
@@ -36,15 +36,23 @@
     return end, ring.peek(length, start + LENGTH_SIZE) if length <= max_length else None
 
 
+def frame_length(ring: Ring) -> int | None:
+    """Return the stated length of the next frame's content in bytes; None if it has not arrived."""
+    if len(ring) < LENGTH_SIZE:
+        return None
+    length: int = LENGTH.unpack(ring.peek(LENGTH_SIZE))[0]
+    return length
+
+
 def next_frame(ring: Ring, max_length: int) -> bytes | None:
     """Consume the next frame of the ring and return its content; None if it is not complete yet.
 
     Raises:
         InvalidFrameError: The frame has no content, or more than `max_length` bytes.
     """
-    if len(ring) < LENGTH_SIZE:
+    length = frame_length(ring)
+    if length is None:
         return None
-    (length,) = LENGTH.unpack(ring.peek(LENGTH_SIZE))
     if not 0 < length <= max_length:
         raise InvalidFrameError(length)
     if len(ring) < LENGTH_SIZE + length:
--- a/weldbend/thrift/messages.py
+++ b/weldbend/thrift/messages.py
@@ -5,7 +5,12 @@
 
 from weldbend.thrift import binary
 from weldbend.thrift.binary import MAP, REPLY, STRING, STRUCT, MessageHeader, Reader
-from weldbend.thrift.errors import InvalidMessageError, MissingArgumentError, TrailingBytesError
+from weldbend.thrift.errors import (
+    InvalidMessageError,
+    LongCallError,
+    MissingArgumentError,
+    TrailingBytesError,
+)
 from weldbend.thrift.framing import LENGTH, frame
 
 # Types of Thrift's application exception.
@@ -74,9 +79,38 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class DiscardedCall:
+    """A request that was received but not buffered, except for its header.
+
+    Attributes:
+        seqid: Sequence id of the call.
+        length: Length of its frame's content in bytes.
+    """
+
+    seqid: int
+    length: int
+
+
 Call = Process | GiveUp | Probe | InvalidCall
 
 
+def read_discarded_call(head: bytes, length: int) -> DiscardedCall:
+    """Decode the header of a request whose other bytes are discarded.
+
+    Args:
+        head: The first bytes of the frame's content.
+        length: Length of the whole content in bytes.
+
+    Raises:
+        InvalidMessageError: These bytes do not begin a request. Calls of other methods are never long.
+    """
+    header = Reader(head).message_header()
+    if header.name != "process" or header.kind != MESSAGE_TYPES[header.name]:
+        raise LongCallError(header.name, length)
+    return DiscardedCall(header.seqid, length)
+
+
 def read_call(data: bytes) -> Call:
     """Decode the content of one frame as a call.
 
