Promise that a retry is harmless only if keys are known until the client leaves

Cause: `Admission.answer` asked whether a repeat would be dropped now. A rejection has no end date: the client may come back when it was told, later, or at another front, until it stops waiting for the whole request. Related: a retry that was rejected for event-loop lag, open_cap, a shutdown or memory got the same promise though its first attempt may have run; and the front forgot with each request what it had sent under its key, so it sent a retry after the window, or into another group of caches, itself.

Change: `routing/retry_safety.py`, named under `policy`, is the one rule for every rejection, in the router and before it. A request that may have run is rejected only if its key is known until its client stops waiting, `deadline_after` after it was received; a retry of which this front knows nothing only if the window is as long as that; otherwise it fails, which promises nothing, and clients retry it within the window by themselves. An attempt that provably did not run is removed.

--- a/tests/fronts.py
+++ b/tests/fronts.py
@@ -405,3 +405,11 @@
         lines = [line.strip() for line in expected.strip().splitlines()]
         assert self.trace == lines, "\n" + "\n".join(self.trace)
         self.trace.clear()
+
+
+def change_class(harness, name, **changes):
+    """Replace settings of a request class, as a reload of the configuration does."""
+    site = harness.front.site
+    classes = site.settings.classes | {name: replace(site.settings.classes[name], **changes)}
+    harness.dispatcher.apply_site(replace(site, settings=replace(site.settings, classes=classes)))
+    harness.advance()
--- a/weldbend/front/admission.py
+++ b/weldbend/front/admission.py
@@ -7,10 +7,12 @@
 from weldbend.front.event_queue import EventQueue
 from weldbend.front.open_requests import OpenRequest, RequestTable
 from weldbend.front.request_codec import InvalidRequestError, ParsedRequest
-from weldbend.routing.events import RequestReceived
+from weldbend.routing.events import PossibleExecution, RequestReceived
 from weldbend.routing.memory_budget import REQUEST_SIZE, MemoryReservation
+from weldbend.routing.retry_safety import is_any_retry_harmless, is_retry_harmless
 from weldbend.thrift.messages import Process
 
+OVER_MEMORY_LIMIT = "requests over the memory limit"  # name of the counter, as the log shows it
 DUPLICATE_ID = "the id of an open download"  # sent to clients, part of the wire protocol
 
 
@@ -39,10 +41,14 @@
             if not client_request.is_answered:
                 client_request.answer_failed()
 
-    def reject_for_memory(self, client_request: ClientRequest) -> None:
-        """Reject a request because its client would hold too much memory."""
-        self.context.counters.counts["requests over the memory limit"] += 1
-        client_request.answer_rejected(self.context.site.settings.max_retry_after)
+    def reject_discarded(self, client_request: ClientRequest) -> None:
+        """Reject a request whose fields were discarded, or fail it if a retry might not be harmless."""
+        settings = self.context.site.settings
+        self.context.counters.counts[OVER_MEMORY_LIMIT] += 1
+        if is_any_retry_harmless(settings.classes.values()):
+            client_request.answer_rejected(settings.max_retry_after)
+        else:
+            client_request.answer_failed()
 
     def cancel(self, client_request: ClientRequest) -> None:
         """Cancel a request whose client no longer waits for the answer."""
@@ -62,20 +68,48 @@
             self._refuse_duplicate(client_request, duplicate.client_request)
             return
         if self.is_rejecting:
-            self.context.counters.counts["requests rejected at a shutdown"] += 1
-            client_request.answer_rejected(site.settings.max_retry_after)
+            self._reject(client_request, parsed, "requests rejected at a shutdown")
             return
         if len(self.requests.by_id) >= site.max_open_requests:
-            self.context.counters.counts["requests over open_cap"] += 1
-            client_request.answer_rejected(site.settings.max_retry_after)
+            self._reject(client_request, parsed, "requests over open_cap")
             return
         memory = self.context.memory.reserve(client_request.client, REQUEST_SIZE + len(call.body))
         if memory is None:
-            self.reject_for_memory(client_request)
+            self._reject(client_request, parsed, OVER_MEMORY_LIMIT)
             return
         request = self._open(client_request, parsed, call.body, memory)
         self.context.counters.counts["requests"] += 1
-        self.queue.post(self._request_received(request))
+        received = self._request_received(request)
+        request.has_earlier_executions = bool(received.possible_executions)
+        self.queue.post(received)
+
+    def _reject(self, client_request: ClientRequest, parsed: ParsedRequest, counter: str) -> None:
+        """Reject a request that was not admitted, or fail it if a retry might not be harmless.
+
+        Args:
+            client_request: handle of the request.
+            parsed: its parsed fields.
+            counter: name of the counter of requests that were rejected for the same reason.
+        """
+        settings = self.context.site.settings
+        self.context.counters.counts[counter] += 1
+        executions = self._possible_executions(parsed)
+        request_class = settings.classes[parsed.class_name]
+        if is_retry_harmless(request_class, executions, parsed.is_retry, self.context.clock.now()):
+            client_request.answer_rejected(settings.max_retry_after)
+        else:
+            client_request.answer_failed()
+
+    def _possible_executions(self, parsed: ParsedRequest) -> tuple[PossibleExecution, ...]:
+        """Return the attempts of earlier requests with the same key that may have been executed."""
+        key = parsed.idempotency_key
+        if key is None:
+            return ()
+        fleet = self.context.fleet
+        known = self.attempts.history.executions(parsed.class_name, key, self.context.clock.now())
+        if fleet:
+            known += fleet.possible_executions(parsed.class_name, key, parsed.is_retry)
+        return tuple(sorted(known, key=lambda execution: execution.sent))
 
     @staticmethod
     def _refuse_duplicate(client_request: ClientRequest, open_request: ClientRequest) -> None:
@@ -108,7 +142,6 @@
         parsed = request.parsed
         fleet = self.context.fleet
         client = request.client_request.client
-        key = parsed.idempotency_key
         return RequestReceived(
             id=request.id,
             key=parsed.key,
@@ -119,9 +152,7 @@
             is_retry=parsed.is_retry,
             deadline=request.deadline,
             queued_for=request.client_request.read_delay,
-            possible_executions=(
-                fleet.possible_executions(parsed.class_name, key, parsed.is_retry) if fleet and key else ()
-            ),
+            possible_executions=self._possible_executions(parsed),
             requested_elsewhere=(
                 fleet.count_request(parsed.class_name, parsed.key, parsed.part, parsed.is_retry)
                 if fleet
--- a/weldbend/front/attempts.py
+++ b/weldbend/front/attempts.py
@@ -10,10 +10,11 @@
 from weldbend.front.context import FrontContext
 from weldbend.front.endpoint_updates import EndpointUpdates
 from weldbend.front.event_queue import EventQueue
+from weldbend.front.execution_history import AttemptId, ExecutionHistory
 from weldbend.front.open_requests import OpenRequest, RequestTable
 from weldbend.invariants import anomalies, check_invariant
 from weldbend.routing.actions import AnswerReason, SendAttempt
-from weldbend.routing.events import AttemptResult, RequestCancelled
+from weldbend.routing.events import NEVER_EXECUTED, AttemptResult, RequestCancelled
 from weldbend.routing.settings import Idempotency
 
 
@@ -27,12 +28,14 @@
         requests: RequestTable,
         endpoints: EndpointUpdates,
         pool: CachePool,
+        history: ExecutionHistory,
     ) -> None:
         self.context = context
         self.queue = queue
         self.requests = requests
         self.endpoints = endpoints
         self.pool = pool
+        self.history = history
 
     # Attempts.
 
@@ -46,13 +49,14 @@
         source = None
         if action.source is not None and action.source != action.cache:
             source = self.endpoints.names.uids[action.source]
+        attempt_id = AttemptId(request.id, len(request.attempts))
         attempt = Attempt(
             name=request.parsed.client_id,
             cache=action.cache,
             source=action.source,
             key=request.parsed.key,
             group=request.parsed.group,
-            command=lambda: self._command(request, action, source),
+            command=lambda: self._command(request, action, source, attempt_id),
             is_short_lived=self._may_decision_expire_soon(request, action),
             on_ended=lambda attempt, outcome: self.guard(request, self.end, attempt, outcome),
         )
@@ -70,17 +74,25 @@
             )
         self.pool.send(attempt)
 
-    def _command(self, request: OpenRequest, action: SendAttempt, source: str | None) -> bytes:
+    def _command(
+        self, request: OpenRequest, action: SendAttempt, source: str | None, attempt_id: AttemptId
+    ) -> bytes:
         """Return the bytes of the command; called right before its first byte is sent."""
         parsed = request.parsed
-        fleet = self.context.fleet
         remaining = request.deadline - self.context.clock.now()
         timeout = min(action.timeout, remaining) if action.timeout else remaining
-        if fleet and parsed.idempotency_key:
-            fleet.attempt_sent(parsed.class_name, parsed.idempotency_key, action.cache)
+        if parsed.idempotency_key:
+            self._record_sent(parsed.class_name, parsed.idempotency_key, action.cache, attempt_id)
         fields = request_codec.attempt_fields(parsed, action, source, timeout)
         return commands.do(parsed.client_id, fields, request.body)
 
+    def _record_sent(self, class_name: str, key: str, cache: int, attempt_id: AttemptId) -> None:
+        """Record that an attempt may be executed from now on, for the client's retry here or elsewhere."""
+        if self.context.fleet:
+            self.context.fleet.attempt_sent(class_name, key, cache)
+        if request_class := self.context.site.settings.classes.get(class_name):
+            self.history.record(request_class, key, attempt_id, cache, self.context.clock.now())
+
     def _may_decision_expire_soon(self, request: OpenRequest, action: SendAttempt) -> bool:
         """Return whether the router's decision to send a new attempt may soon become invalid.
 
@@ -88,7 +100,8 @@
         to use a cache in slow start depends on the present budget of that cache.
         """
         # `request.attempts` holds only the earlier attempts: the new one is added after this call.
-        is_non_idempotent_retry = request.attempts and request.idempotency is not Idempotency.IDEMPOTENT
+        is_retry = request.attempts or request.has_earlier_executions
+        is_non_idempotent_retry = is_retry and request.idempotency is not Idempotency.IDEMPOTENT
         return bool(is_non_idempotent_retry) or not self.endpoints.started.isdisjoint(
             (action.cache, action.source)
         )
@@ -138,7 +151,10 @@
             anomalies["attempts answered as health checks"] += 1
             outcome = AttemptResult.ERROR
         duration = self.context.clock.now() - request.attempt_times[number]
-        self.queue.post(request_codec.attempt_ended(request.id, number, outcome, duration, request.is_closed))
+        ended = request_codec.attempt_ended(request.id, number, outcome, duration, request.is_closed)
+        if ended.result in NEVER_EXECUTED and (key := request.parsed.idempotency_key):
+            self.history.withdraw(request.parsed.class_name, key, AttemptId(request.id, number))
+        self.queue.post(ended)
         self.requests.finish_if_done(request)
 
     # Final answers.
--- a/weldbend/front/client_gateway.py
+++ b/weldbend/front/client_gateway.py
@@ -66,7 +66,7 @@
 
     def reject_discarded(self, request: ClientRequest) -> None:
         """Reject a request whose fields and body were discarded because memory was too short."""
-        self.dispatcher.admission.reject_for_memory(request)
+        self.dispatcher.admission.reject_discarded(request)
 
     def reserve_call(self, holder: RequestSource, length: int) -> MemoryReservation | None:
         """Reserve memory for a call of `length` bytes that is being received; None if there is not enough."""
--- a/weldbend/front/dispatcher.py
+++ b/weldbend/front/dispatcher.py
@@ -20,6 +20,7 @@
 from weldbend.front.context import FleetPeers, FrontContext
 from weldbend.front.endpoint_updates import EndpointUpdates
 from weldbend.front.event_queue import EventQueue
+from weldbend.front.execution_history import ExecutionHistory
 from weldbend.front.health_checks import HealthChecker
 from weldbend.front.open_requests import RequestTable
 from weldbend.front.timers import Timers
@@ -63,7 +64,8 @@
         )
         self.health_checks = HealthChecker(context, self.queue, self.pool)
         self.endpoints = EndpointUpdates(context, self.queue, self.names, self.pool)
-        self.attempts = AttemptManager(context, self.queue, self.requests, self.endpoints, self.pool)
+        history = ExecutionHistory(self.router.caches)
+        self.attempts = AttemptManager(context, self.queue, self.requests, self.endpoints, self.pool, history)
         self.admission = Admission(context, self.queue, self.requests, self.attempts)
         self._current_event: Event | None = None  # the event that the router is handling
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
--- a/weldbend/routing/admission.py
+++ b/weldbend/routing/admission.py
@@ -13,7 +13,8 @@
 from weldbend.routing.purge_table import PurgeTable
 from weldbend.routing.records import Attempt, shares_idempotency_keys
 from weldbend.routing.requests import Request
-from weldbend.routing.settings import DeduplicationScope, Idempotency, Role
+from weldbend.routing.retry_safety import is_retry_harmless
+from weldbend.routing.settings import Idempotency, Role
 from weldbend.routing.warm_load import WarmLoad
 from weldbend.routing.windows import DecayingAverage, WindowedSum
 
@@ -78,6 +79,8 @@
         was queued unread in units of its limit, and OVER_LIMIT_LOAD if the request is over a fleet-wide
         limit. The request is rejected with a probability of the load minus 1, or minus 2 if its class has the
         highest priority weight. Side effect: a pause of the machine causes some requests to be rejected.
+
+        Instead of being rejected, a request fails if a retry might not be harmless.
         """
         context = self.context
         request_class = self.context.settings.classes[received.class_name]
@@ -92,8 +95,12 @@
         reason = max(loads, key=loads.__getitem__)
         excess = loads[reason] - (2 if request_class.priority_weight >= highest else 1)
         if excess > 0 and context.random.random() < excess:
-            retry_after = context.settings.max_retry_after
-            context.actions.append(actions.RejectRequest(received.id, retry_after, reason))
+            executions = received.possible_executions
+            if is_retry_harmless(request_class, executions, received.is_retry, context.now):
+                retry_after = context.settings.max_retry_after
+                context.actions.append(actions.RejectRequest(received.id, retry_after, reason))
+            else:
+                context.actions.append(actions.FailRequest(received.id, reason))
         else:
             request = Request(context, received, request_class)
             context.post(context.requests.setdefault(received.id, request), received)
@@ -248,18 +255,12 @@
                 self.warm_load.record_served(attempt)
 
     def answer(self, request: Request) -> None:
-        """Send the final answer: a rejection with Retry-After if a retry is safe, else a failure."""
-        executions = request.possible_executions()
-        request_class = request.request_class
-        is_deduplicated = request_class.idempotency is Idempotency.DEDUPLICATED
-        # unless all caches recognise the key, the client's retry may reach one that does not
-        if executions and is_deduplicated and request_class.deduplication_scope is DeduplicationScope.ALL:
-            is_harmless = self.context.now < executions[0].sent + request_class.deduplication_window
-        else:
-            is_harmless = not executions or request_class.idempotency is Idempotency.IDEMPOTENT
+        """Send the final answer: a rejection with Retry-After if a retry is harmless, else a failure."""
         request_id = request.received.id
         reason = request.answer_reason
-        if is_harmless:
+        executions = request.possible_executions()
+        is_retry = request.received.is_retry
+        if is_retry_harmless(request.request_class, executions, is_retry, request.admitted_at):
             retry_after = min(self.context.settings.max_retry_after, RETRY_AFTER)
             self.context.actions.append(actions.RejectRequest(request_id, retry_after, reason))
         else:
--- a/weldbend/routing/events.py
+++ b/weldbend/routing/events.py
@@ -120,7 +120,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PossibleExecution:
-    """An attempt by another front with the same idempotency key that may have been executed."""
+    """An earlier attempt with the same idempotency key, by any front, that may have been executed."""
 
     zone: str
     cell: int
@@ -146,7 +146,8 @@
         is_retry: whether the client marked the request as a retry.
         deadline: time by which the request needs its final answer.
         queued_for: seconds for which the request was queued unread behind earlier ones.
-        possible_executions: attempts of this request by other fronts that may have been executed.
+        possible_executions: earlier attempts of this request that may have been executed: by other fronts,
+            and by this front before the client's retry.
         requested_elsewhere: number of recent requests for the object at other fronts.
         over_limit: whether the request exceeds a fleet-wide limit.
     """
--- a/weldbend/routing/records.py
+++ b/weldbend/routing/records.py
@@ -120,7 +120,9 @@
         received: event that reported the request.
         request_class: request class, as defined by the settings at the time of admission.
         object_name: name of the requested object, used by the prefilter and the hash.
-        executions: attempts of this request by other fronts that may have been executed.
+        admitted_at: time at which the router received the request.
+        executions: attempts of this request that may have been executed: those of other fronts, and those
+            that this front sent before the client's retry.
         attempts: attempts of this front, in the order in which they were sent.
         failed_caches: caches that failed to answer this request.
         ruled_out: caches at which admission blocked an attempt; they are not used again for this request.
@@ -140,6 +142,7 @@
         self.received = received
         self.request_class = request_class
         self.object_name = f"{received.key} {received.part}"
+        self.admitted_at = context.now
         self.executions = list(received.possible_executions)
         self.attempts: list[Attempt] = []
         self.failed_caches: set[Cache] = set()
@@ -165,7 +168,7 @@
         return [attempt for attempt in self.attempts if attempt.result is None]
 
     def possible_executions(self) -> list[Attempt | PossibleExecution]:
-        """Return the attempts that may have been executed: first those of other fronts, then this front's."""
+        """Return the attempts that may have been executed, those before this request first."""
         elsewhere = sorted(self.executions, key=lambda execution: execution.sent)
         return [*elsewhere, *(a for a in self.attempts if a.result not in NEVER_EXECUTED)]
 
