--- a/tests/fronts.py
+++ b/tests/fronts.py
@@ -413,3 +413,24 @@
     classes = site.settings.classes | {name: replace(site.settings.classes[name], **changes)}
     harness.dispatcher.apply_site(replace(site, settings=replace(site.settings, classes=classes)))
     harness.advance()
+
+
+SSE_HEADER = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+
+
+def open_bus_connection(harness, port=9092):
+    """Complete the newest connect to a bus; return the connection and the Last-Event-Id of its request."""
+    factory = [connect[2] for connect in harness.reactor.tcpClients if connect[1] == port][-1]
+    connection, transport = factory.buildProtocol(None), Transport()
+    connection.makeConnection(transport)
+    transport.protocol = connection
+    header_fields = dict(line.split(": ") for line in transport.value().decode().splitlines()[1:] if line)
+    return connection, header_fields["Last-Event-Id"]
+
+
+def sse_event(raw):
+    return f"id: {raw['offset']}\ndata: {raw}\n\n".replace("'", '"').replace("False", "false").encode()
+
+
+def endpoint_uids(harness):
+    return " ".join(sorted(harness.dispatcher.names.uids[n] for n in harness.dispatcher.pool.endpoints))
--- a/tests/test_bus_connects.py
+++ b/tests/test_bus_connects.py
@@ -31,6 +31,7 @@
 
     def __init__(self, reactor):
         self.reactor = reactor
+        self.now = reactor.seconds
 
     def after(self, delay, call):
         timer = self.reactor.callLater(delay, call)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,14 +15,18 @@
 import pytest
 from fronts import (
     KEY,
+    SSE_HEADER,
     TARGETS,
     FrontHarness,
     configuration,
+    endpoint_uids,
     give_up,
     listing,
     message,
+    open_bus_connection,
     probe,
     process,
+    sse_event,
     target,
 )
 from twisted.internet.error import ConnectError
@@ -873,27 +877,6 @@
     assert harness.reactor.hasStopped
 
 
-SSE_HEADER = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
-
-
-def open_bus_connection(harness, port=9092):
-    """Complete the newest connect to a bus; return the connection and the Last-Event-Id of its request."""
-    factory = [connect[2] for connect in harness.reactor.tcpClients if connect[1] == port][-1]
-    connection, transport = factory.buildProtocol(None), FrontHarness.transport()
-    connection.makeConnection(transport)
-    transport.protocol = connection
-    header_fields = dict(line.split(": ") for line in transport.value().decode().splitlines()[1:] if line)
-    return connection, header_fields["Last-Event-Id"]
-
-
-def sse_event(raw):
-    return f"id: {raw['offset']}\ndata: {raw}\n\n".replace("'", '"').replace("False", "false").encode()
-
-
-def endpoint_uids(harness):
-    return " ".join(sorted(harness.dispatcher.names.uids[n] for n in harness.dispatcher.pool.endpoints))
-
-
 def test_the_bus_is_read_from_the_last_event_id_after_each_lost_connection():
     harness = FrontHarness()
     first, last_event_id = open_bus_connection(harness)
--- a/weldbend/front/counters_log.py
+++ b/weldbend/front/counters_log.py
@@ -23,7 +23,8 @@
     "cache connections {cache_connections} ({max_cache_connections} at most); "
     "requests {max_request_kb} kB at most; "
     "unsent answers {max_unsent_kb} kB at most; timers {max_timer_delay_ms} ms late at most, "
-    "event-loop iterations {max_iteration_ms} ms at most; bus disconnects {bus_disconnects}; "
+    "event-loop iterations {max_iteration_ms} ms at most; bus disconnects {bus_disconnects}, "
+    "responses {max_bus_response_ms} ms at most; "
     "anomalies {anomalies}; violations {violations}"
 )
 
@@ -49,6 +50,7 @@
             "max_timer_delay_ms": round(self.context.timers.max_delay * MILLISECONDS, 1),
             "max_iteration_ms": round(self.dispatcher.queue.max_iteration * MILLISECONDS, 1),
             "bus_disconnects": self.bus.loss_count,
+            "max_bus_response_ms": round(self.bus.max_response_time * MILLISECONDS, 1),
             "anomalies": dict(+invariants.anomalies),
             "violations": dict(invariants.violations),
         }
