Count answers that wait in a full transport among those that clients do not read

Cause: an answer of up to 240,000 bytes is passed to the transport in one piece, and the transport then accepts no more until it has sent it. `AnswerWriter` counted only what lay behind it, so each slow reader held up to 304,000 bytes that were counted nowhere.

Change: the bytes of the write that fills the transport count as unsent until it has sent them or the connection has ended. Reading from caches pauses earlier by that much.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -14,6 +14,7 @@
 from weldbend.front.open_requests import OpenRequest
 from weldbend.routing.memory_budget import REQUEST_SIZE, MemoryBudget, max_request_memory
 from weldbend.routing.requests import Request
+from weldbend.thrift import messages
 
 REQUESTS = 20
 BODY_SIZE = 48_000  # bytes; the longest body of a write
@@ -238,3 +239,27 @@
     client = harness.connect_client()
     client.dataReceived(message(1, "mystery", 1, b"x" * 20_000)[:5000])
     assert client.transport.disconnecting
+
+
+@pytest.mark.parametrize("end", ["sent", "lost"])
+def test_answers_in_a_full_transport_count_as_unsent_until_they_are_sent(end):
+    """Without this, hundreds of slow readers hold an answer of 240,000 bytes each that is counted nowhere."""
+    harness = FrontHarness()
+    client = harness.connect_client()
+    write = client.transport.write
+
+    def write_and_fill(data):
+        write(data)
+        client.pauseProducing()  # as a transport does while it is written to, once its buffer is full
+
+    client.transport.write = write_and_fill
+    answer = messages.success_reply("process", 1, bytes(240_000), {}, True)
+    client.send_answer(answer)
+    client.send_answer(answer)
+    assert harness.front.gateway.unsent_bytes == 2 * len(answer)
+    client.transport.write = write
+    if end == "sent":
+        client.resumeProducing()
+    else:
+        client.transport.loseConnection()
+    assert harness.front.gateway.unsent_bytes == 0
--- a/weldbend/clients/answer_writer.py
+++ b/weldbend/clients/answer_writer.py
@@ -20,9 +20,10 @@
         queue: Complete answers for which the ring has no capacity, a few tens at most.
         is_paused: Whether the transport accepts no bytes at present.
         transport: Transport of the connection; None before it is made and once it has become idle.
+        transport_bytes: Bytes of the write that filled the transport's buffer; 0 while it accepts more.
     """
 
-    __slots__ = ("account", "is_paused", "queue", "ring", "transport")
+    __slots__ = ("account", "is_paused", "queue", "ring", "transport", "transport_bytes")
 
     def __init__(self, account: BufferAccount) -> None:
         self.account = account
@@ -30,14 +31,26 @@
         self.ring = Ring(OUTGOING_CAPACITY)
         self.queue: list[bytes] = []  # a deque would take 700 bytes more while it is empty
         self.is_paused = False
+        self.transport_bytes = 0
 
     def has_pending(self) -> bool:
         """Return whether any byte of an answer waits for the transport."""
         return bool(self.ring or self.queue)
 
     def pending_bytes(self) -> int:
-        """Return the number of bytes that wait for the transport."""
-        return len(self.ring) + sum(map(len, self.queue))
+        """Return the number of bytes that are counted as buffered."""
+        return len(self.ring) + sum(map(len, self.queue)) + self.transport_bytes
+
+    def pause(self) -> None:
+        """Stop passing bytes to the transport, whose buffer is full or which has ended."""
+        self.is_paused = True
+
+    def resume(self) -> None:
+        """Pass bytes on again, since the transport has sent all that it had."""
+        self.is_paused = False
+        self.account.buffered_changed(-self.transport_bytes)
+        self.transport_bytes = 0
+        self.write_pending()
 
     def write(self, answer: bytes) -> None:
         """Send one complete answer after all pending ones."""
@@ -59,10 +72,13 @@
             self.account.buffered_changed(-len(data))
             self._send(self.transport, data)
 
-    @staticmethod
-    def _send(transport: ClientTransport, data: bytes) -> None:
+    def _send(self, transport: ClientTransport, data: bytes) -> None:
         """Pass bytes to the transport, and abort a connection that cannot be registered for writing.
 
+        If they fill the transport's buffer, they count as buffered until it has been sent. An answer may be
+        several times as long as the buffer, so hundreds of slow readers would otherwise hold a multiple of
+        the limit on buffered answers.
+
         The transport has buffered the bytes when the registration fails. If the exception were passed on, the
         dispatcher would treat the request as unanswered and try to answer it once more, as failed.
         Aborting the connection prevents that.
@@ -71,6 +87,9 @@
             transport.write(data)
         except OSError:
             transport.abortConnection()
+        if self.is_paused:  # set by `pause`, which the transport calls while it is being written to
+            self.transport_bytes += len(data)
+            self.account.buffered_changed(len(data))
 
     def discard(self) -> None:
         """Remove pending answers from the account and clear the queue, since the connection has ended.
@@ -78,4 +97,5 @@
         The ring keeps its bytes.
         """
         self.account.buffered_changed(-self.pending_bytes())
+        self.transport_bytes = 0
         self.queue.clear()
--- a/weldbend/clients/connection.py
+++ b/weldbend/clients/connection.py
@@ -328,17 +328,16 @@
 
     def pauseProducing(self) -> None:
         """Hold back answers; the transport calls this when its buffer is full."""
-        self.writer.is_paused = True
+        self.writer.pause()
 
     def resumeProducing(self) -> None:
         """Resume sending answers; the transport calls this when its buffer has drained."""
-        self.writer.is_paused = False
-        self.writer.write_pending()
+        self.writer.resume()
         self._continue()
 
     def stopProducing(self) -> None:
         """Stop sending; the transport calls this when it has ended."""
-        self.writer.is_paused = True
+        self.writer.pause()
 
     def _continue(self) -> None:
         """Handle calls that were held back until an answer was sent; close if draining and done."""
