Keep the time of a shutdown when a reload shortens the deadlines

Cause: the abort of open requests was scheduled at SIGTERM, but `_end_if_done` took the time after which the front exits in any case from the settings of the moment.

Change: the time is set once, at SIGTERM.

--- a/tests/test_last_moments.py
+++ b/tests/test_last_moments.py
@@ -11,9 +11,10 @@
 import time
 
 import pytest
-from fronts import FrontHarness, answer_text, process, target
+from fronts import TARGETS, FrontHarness, answer_text, process, target
 
 from weldbend.buffers.ring import Ring
+from weldbend.front.configuration import read_site
 from weldbend.testbed.emulator.configuration import SETTINGS
 from weldbend.testbed.emulator.configuration import configuration as emulated_configuration
 from weldbend.thrift import messages
@@ -164,3 +165,27 @@
         }
         assert client.closed_at > terminated_at + 0.6, "the client was disconnected too early"
         assert len(due) > 20 and due <= set(client.answers), sorted(due - set(client.answers))
+
+
+def test_a_reload_with_shorter_deadlines_during_a_shutdown_loses_no_open_request():
+    """Requests keep the deadline with which they were accepted; the front must not exit before it."""
+    harness = FrontHarness()  # deadlines of 6 and 9 s, of which a shutdown waits for 3 s
+    client = harness.connect_client()
+    harness.send(client, process(1))
+    harness.complete_connects()
+    harness.front.terminate()
+    harness.advance(0.3)
+    settings = SETTINGS | {"lanes": [lane | {"deadline_us": 500_000} for lane in SETTINGS["lanes"]]}
+    document = emulated_configuration(TARGETS, settings=settings)
+    harness.front.read_new_site = lambda: read_site(document)
+    harness.front.reload()
+    for _ in range(20):  # 2.0 s
+        harness.advance(0.1)
+    assert not harness.reactor.hasStopped
+    harness.answer("e2", 1, "DONE", body=b"photo")
+    assert harness.trace[-1] == "client 0 < 1 process: 'photo'"
+    harness.send(client, process(2, wait="500"))  # the new deadline applies to new requests
+    for _ in range(30):
+        harness.advance(0.1)
+    assert harness.reactor.hasStopped
+    assert sum(line.startswith("client 0 < 2 ") for line in harness.trace) == 1
--- a/weldbend/front/server.py
+++ b/weldbend/front/server.py
@@ -7,6 +7,7 @@
 """
 
 import gc
+import math
 import resource
 import signal
 from collections.abc import Callable
@@ -56,6 +57,7 @@
         fleet_adapter: adapter to the fleet; None if the installation file configures no fleet.
         is_open: whether the listening port is open.
         stop_requested: time of SIGTERM; None before it.
+        abort_at: time at which open requests are aborted; infinity before SIGTERM.
         is_aborting: whether open requests were aborted and new ones are rejected, since SIGKILL is imminent.
     """
 
@@ -90,6 +92,7 @@
         self.is_open = False
         self._has_tried_to_open = False
         self.stop_requested: float | None = None
+        self.abort_at = math.inf
         self.is_aborting = False
 
     @property
@@ -232,13 +235,17 @@
     def terminate(self) -> None:
         """Handle SIGTERM: fail health checks, still accept requests, and exit when all are answered.
 
-        Requests that are still open after the seconds of `_seconds_until_abort` are aborted.
+        Requests that are still open after the seconds of `_seconds_until_abort` are aborted. That time is set
+        here for the whole shutdown: a reload may shorten the deadlines of new requests, but those that are
+        open keep theirs.
         """
         if self.stop_requested is None:
             self.stop_requested = self.clock.now()
             logger.info("shutdown requested; {} requests open", len(self.dispatcher.requests))
-            self.timers.after(min(MIN_SHUTDOWN_TIME, self._seconds_until_abort()), self._end_if_done)
-            self.timers.after(self._seconds_until_abort(), self._abort_all)
+            seconds = self._seconds_until_abort()
+            self.abort_at = self.stop_requested + seconds
+            self.timers.after(min(MIN_SHUTDOWN_TIME, seconds), self._end_if_done)
+            self.timers.after(seconds, self._abort_all)
 
     def _seconds_until_abort(self) -> float:
         """Return the seconds from SIGTERM to the abort of open requests."""
@@ -268,11 +275,9 @@
         anything. Closing the port before the exit has no known drawback: a client that still connects is
         refused when the port is closed instead of after the exit, which follows soon.
         """
-        assert self.stop_requested is not None
-        now = self.clock.now()
         requests = self.dispatcher.requests
         has_stopped_accepting = self.listener.stop()
-        is_late = now > self.stop_requested + self._seconds_until_abort() + FORCED_EXIT_DELAY
+        is_late = self.clock.now() > self.abort_at + FORCED_EXIT_DELAY
         if is_late or (has_stopped_accepting and not (requests or self.listener.connection_count())):
             self._end()
             return
