Read event streams whose lines end in CR

Cause: the specification of server-sent events allows CR LF, LF and CR; `event_bus/sse.py` looked for LF only.

Change: line endings are unified as chunks arrive; a CR at the end of a chunk ends its line at once, and an LF at the start of the next one belongs to it.

--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -153,6 +153,16 @@
             read_answers([bytes(line)])
 
 
+@pytest.mark.parametrize("line_ending", [b"\n", b"\r\n", b"\r"])
+def test_stream_lines_may_end_in_any_line_ending_of_the_specification(line_ending):
+    """A stream whose lines end in CR alone was never read, and its comments kept the connection open."""
+    data = STREAM.replace(b"\r\n", b"\n").replace(b"\n", line_ending)
+    messages, _ = read_stream([STREAM])
+    for split in range(len(data)):
+        assert read_stream([data[:split], data[split:]]) == (messages, 0), split
+    assert read_stream([data[split : split + 1] for split in range(len(data))]) == (messages, 0)
+
+
 def test_overlong_stream_lines_and_events_are_errors():
     # `read_stream` limits lines and events to 1 << 10 bytes: one line of 2006, and 60 lines of 30 bytes each.
     for data in (b"data: " + b"x" * 2000, b"data: xxxxxxxxxxxxxxxxxxxxxxxx\n" * 60):
--- a/weldbend/event_bus/sse.py
+++ b/weldbend/event_bus/sse.py
@@ -26,6 +26,7 @@
         self.last_id = ""
         self.data_lines: list[str] = []
         self.data_bytes = 0
+        self.ended_in_cr = False  # whether the last chunk ended in CR, which may be the first half of CR LF
 
     def feed(self, chunk: bytes) -> Iterator[Message]:
         """Add a chunk of the stream and yield each message that it completes.
@@ -33,7 +34,7 @@
         Raises:
             InvalidStreamError: A line or a message is too long.
         """
-        rest = memoryview(chunk)
+        rest = memoryview(self.unify_line_endings(chunk))
         while rest:
             rest = rest[self.ring.write(rest) :]
             while (line := self.next_line()) is not None:
@@ -41,6 +42,13 @@
                 if message:
                     yield message
 
+    def unify_line_endings(self, chunk: bytes) -> bytes:
+        """Return a chunk with LF in place of each line ending, which may be CR LF, LF or CR."""
+        if self.ended_in_cr:
+            chunk = chunk.removeprefix(b"\n")
+        self.ended_in_cr = chunk.endswith(b"\r")
+        return chunk.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+
     def next_line(self) -> bytes | None:
         """Remove and return the next line without its ending, or return None if it is incomplete."""
         end = self.ring.find(b"\n", self.scanned, len(self.ring))
@@ -52,7 +60,7 @@
         self.scanned = 0
         line = self.ring.read(end)
         self.ring.skip(1)
-        return line.removesuffix(b"\r")
+        return line
 
     def process_line(self, line: bytes) -> Message | None:
         """Process a line and return the message that it completes, if any."""
