--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -146,7 +146,7 @@
 
 
 class Connection:
-    held_memory = 0
+    reserved_memory = 0
 
 
 @pytest.mark.parametrize("memory_mb", [32, 64, 80, 96, 192])
@@ -157,8 +157,8 @@
     while any([budget.reserve(connection, BODY_SIZE) for connection in connections]):
         pass
     part = budget.limit * 0.75 / 26
-    assert all(part - BODY_SIZE < c.held_memory <= part + BODY_SIZE for c in connections)
-    assert budget.used == sum(c.held_memory for c in connections)
+    assert all(part - BODY_SIZE < c.reserved_memory <= part + BODY_SIZE for c in connections)
+    assert budget.used == sum(c.reserved_memory for c in connections)
     assert part < BODY_SIZE or budget.reserve(Connection(), BODY_SIZE)
     small = [budget.reserve(Connection(), REQUEST_SIZE) for _ in range(budget.limit // 4 // REQUEST_SIZE)]
     assert all(small)
@@ -204,7 +204,7 @@
 def test_a_write_without_memory_is_discarded_and_answered_and_the_next_calls_are_handled(
     piece_size, window, answer
 ):
-    """It may be a retry, of which nothing is known; it is rejected only if that is harmless."""
+    """Whether it is a retry is not known, so it is rejected only if a further retry is safe in any case."""
     harness = FrontHarness(limits=SMALL_LIMITS)
     change_class(harness, "order", deduplication_window=window)
     connect_clients_that_stop_in_a_call(harness, 300)
--- a/tests/test_retry_safety.py
+++ b/tests/test_retry_safety.py
@@ -1,15 +1,15 @@
-"""Guards against a second execution of a request whose client was told to retry, or retries by itself.
+"""Guards against a second execution of a request that its client retries, after a rejection or by itself.
 
-Caches drop repeats of an idempotency key only for a window after the first execution. A rejection that
-invites a client to come back must not let it come back after that, and a front that knows of the first
-execution must not send the retry to a cache that does not.
+Caches drop repeats of an idempotency key only for a window after the first execution. A request must not be
+rejected if its client may retry it after that, and a front that knows of the first execution must not send
+the retry to a cache that does not.
 """
 
 import pytest
 from fronts import CACHES, FrontHarness, RouterHarness, change_class, endpoint, process, request_class
 
 from weldbend.routing.events import AttemptResult, LoopLagMeasured, PossibleExecution, RequestReceived
-from weldbend.routing.retry_safety import is_retry_harmless
+from weldbend.routing.retry_safety import is_retry_safe
 from weldbend.routing.settings import DeduplicationScope, Idempotency
 
 ONCE = "ab" * 16
@@ -51,7 +51,7 @@
         (False, 2.0, (PossibleExecution("z", 0, 0.5),), "throttled, wait 1.0"),
     ],
 )
-def test_an_overloaded_front_rejects_a_retry_only_if_another_one_is_harmless(
+def test_an_overloaded_front_rejects_a_retry_only_if_another_one_is_safe(
     is_retry, window, executions, answer
 ):
     classes = {"order": order_class(deduplication_window=window, deadline_after=2.0)}
@@ -68,8 +68,8 @@
     is_known_everywhere = idempotency is Idempotency.DEDUPLICATED and scope is DeduplicationScope.ALL
     execution = PossibleExecution("z", 0, 1.0)
     may_repeat = idempotency is Idempotency.IDEMPOTENT or is_known_everywhere
-    assert is_retry_harmless(kind, [execution], True, 1.0) is may_repeat
-    assert is_retry_harmless(kind, [], True, 1.0)
+    assert is_retry_safe(kind, [execution], True, 1.0) is may_repeat
+    assert is_retry_safe(kind, [], True, 1.0)
 
 
 def front_with_orders(window=1.5, deadline=2.0, **options):
@@ -138,7 +138,7 @@
 
 @pytest.mark.parametrize("limit", ["open_cap", "memory", "shutdown"])
 @pytest.mark.parametrize(("window", "answer"), [(1.9, "abandoned"), (2.0, "throttled {'after': '1000'}")])
-def test_a_front_without_capacity_rejects_a_retry_only_if_another_one_is_harmless(limit, window, answer):
+def test_a_front_without_capacity_rejects_a_retry_only_if_another_one_is_safe(limit, window, answer):
     harness = front_with_orders(window, open_cap=0 if limit == "open_cap" else 100)
     if limit == "memory":
         harness.front.context.memory.limit = 0
--- a/weldbend/clients/connection.py
+++ b/weldbend/clients/connection.py
@@ -73,7 +73,7 @@
         open_requests: Requests that wait for an answer, by sequence id.
         violations: Counts of the client's violations.
         call_count: Number of calls of any kind read so far.
-        held_memory: Bytes that its requests hold, as counted by the front.
+        reserved_memory: Bytes that its requests hold, as counted by the front.
         active_at: Last time at which the connection was accepted, bytes arrived, an answer was sent, or a
             check found a request open or an answer pending.
         call_started_at: Time since which an incomplete call has been arriving.
@@ -94,7 +94,7 @@
     is_reading = False
     is_closing = False
     call_count = 0
-    held_memory = 0
+    reserved_memory = 0
     discarded_bytes = 0
     active_at = 0.0
     call_started_at = 0.0
--- a/weldbend/clients/incoming_calls.py
+++ b/weldbend/clients/incoming_calls.py
@@ -1,7 +1,7 @@
 """The bytes received from one client, and the calls that they contain. No I/O.
 
 A call is buffered until it is complete. If there is no memory for the rest of a long call, the call is
-discarded as it arrives, except for its header, so that it can be answered: the client is then told to retry.
+discarded as it arrives, except for its header, which suffices to reject the request.
 """
 
 from collections.abc import Callable, Iterator
--- a/weldbend/clients/request.py
+++ b/weldbend/clients/request.py
@@ -13,10 +13,10 @@
     """The interface of the connection on which a request was received.
 
     Attributes:
-        held_memory: Bytes that its requests hold.
+        reserved_memory: Bytes that its requests hold.
     """
 
-    held_memory: int
+    reserved_memory: int
 
     def finish_request(self, request: "ClientRequest", answer: bytes) -> None:
         """Send the answer to a request, unless the request was cancelled."""
--- a/weldbend/front/admission.py
+++ b/weldbend/front/admission.py
@@ -9,7 +9,7 @@
 from weldbend.front.request_codec import InvalidRequestError, ParsedRequest
 from weldbend.routing.events import PossibleExecution, RequestReceived
 from weldbend.routing.memory_budget import REQUEST_SIZE, MemoryReservation
-from weldbend.routing.retry_safety import is_any_retry_harmless, is_retry_harmless
+from weldbend.routing.retry_safety import is_any_retry_safe, is_retry_safe
 from weldbend.thrift.messages import Process
 
 OVER_MEMORY_LIMIT = "requests over the memory limit"  # name of the counter, as the log shows it
@@ -42,10 +42,10 @@
                 client_request.answer_failed()
 
     def reject_discarded(self, client_request: ClientRequest) -> None:
-        """Reject a request whose fields were discarded, or fail it if a retry might not be harmless."""
+        """Reject a request whose fields were discarded, or fail it if a retry might not be safe."""
         settings = self.context.site.settings
         self.context.counters.counts[OVER_MEMORY_LIMIT] += 1
-        if is_any_retry_harmless(settings.classes.values()):
+        if is_any_retry_safe(settings.classes.values()):
             client_request.answer_rejected(settings.max_retry_after)
         else:
             client_request.answer_failed()
@@ -84,7 +84,7 @@
         self.queue.post(received)
 
     def _reject(self, client_request: ClientRequest, parsed: ParsedRequest, counter: str) -> None:
-        """Reject a request that was not admitted, or fail it if a retry might not be harmless.
+        """Reject a request that was not admitted, or fail it if a retry might not be safe.
 
         Args:
             client_request: handle of the request.
@@ -95,7 +95,7 @@
         self.context.counters.counts[counter] += 1
         executions = self._possible_executions(parsed)
         request_class = settings.classes[parsed.class_name]
-        if is_retry_harmless(request_class, executions, parsed.is_retry, self.context.clock.now()):
+        if is_retry_safe(request_class, executions, parsed.is_retry, self.context.clock.now()):
             client_request.answer_rejected(settings.max_retry_after)
         else:
             client_request.answer_failed()
--- a/weldbend/routing/admission.py
+++ b/weldbend/routing/admission.py
@@ -13,7 +13,7 @@
 from weldbend.routing.purge_table import PurgeTable
 from weldbend.routing.records import Attempt, shares_idempotency_keys
 from weldbend.routing.requests import Request
-from weldbend.routing.retry_safety import is_retry_harmless
+from weldbend.routing.retry_safety import is_retry_safe
 from weldbend.routing.settings import Idempotency, Role
 from weldbend.routing.warm_load import WarmLoad
 from weldbend.routing.windows import DecayingAverage, WindowedSum
@@ -80,7 +80,7 @@
         limit. The request is rejected with a probability of the load minus 1, or minus 2 if its class has the
         highest priority weight. Side effect: a pause of the machine causes some requests to be rejected.
 
-        Instead of being rejected, a request fails if a retry might not be harmless.
+        Instead of being rejected, a request fails if a retry might not be safe.
         """
         context = self.context
         request_class = self.context.settings.classes[received.class_name]
@@ -96,7 +96,7 @@
         excess = loads[reason] - (2 if request_class.priority_weight >= highest else 1)
         if excess > 0 and context.random.random() < excess:
             executions = received.possible_executions
-            if is_retry_harmless(request_class, executions, received.is_retry, context.now):
+            if is_retry_safe(request_class, executions, received.is_retry, context.now):
                 retry_after = context.settings.max_retry_after
                 context.actions.append(actions.RejectRequest(received.id, retry_after, reason))
             else:
@@ -255,12 +255,12 @@
                 self.warm_load.record_served(attempt)
 
     def answer(self, request: Request) -> None:
-        """Send the final answer: a rejection with Retry-After if a retry is harmless, else a failure."""
+        """Send the final answer: a rejection with Retry-After if a retry is safe, else a failure."""
         request_id = request.received.id
         reason = request.answer_reason
         executions = request.possible_executions()
         is_retry = request.received.is_retry
-        if is_retry_harmless(request.request_class, executions, is_retry, request.admitted_at):
+        if is_retry_safe(request.request_class, executions, is_retry, request.admitted_at):
             retry_after = min(self.context.settings.max_retry_after, RETRY_AFTER)
             self.context.actions.append(actions.RejectRequest(request_id, retry_after, reason))
         else:
--- a/weldbend/routing/memory_budget.py
+++ b/weldbend/routing/memory_budget.py
@@ -24,10 +24,10 @@
     """The client connection whose requests hold memory.
 
     Attributes:
-        held_memory: bytes that its requests hold.
+        reserved_memory: bytes that its requests hold.
     """
 
-    held_memory: int
+    reserved_memory: int
 
 
 class MemoryReservation:
@@ -49,7 +49,7 @@
         """Change the number of bytes."""
         change = size - self.size
         self.size = size
-        self._holder.held_memory += change
+        self._holder.reserved_memory += change
         self._budget.add(change)
 
     def release(self) -> None:
@@ -92,6 +92,6 @@
         of the budget, even if no other one needs the rest.
         """
         limit = self.limit if size <= MAX_SMALL_SIZE else self.limit * LARGE_FRACTION
-        if holder.held_memory + size > limit - self.used:
+        if holder.reserved_memory + size > limit - self.used:
             return None
         return MemoryReservation(self, holder, size)
--- a/weldbend/routing/retry_safety.py
+++ b/weldbend/routing/retry_safety.py
@@ -1,7 +1,8 @@
-"""The rule for telling a client that a retry does no harm. Every rejection is subject to it. No I/O.
+"""Rule for every rejection: a request may be rejected only if a retry of it is safe. No I/O.
 
-A rejection has no end date: the client may retry at any time until it stops waiting for the whole request,
-over all its attempts. That is at most `deadline_after` after it sent the first of them.
+A rejection promises that a retry cannot cause a second execution. The promise has no end date: the client may
+retry at any time until it stops waiting for the whole request, at most `deadline_after` after it first sent
+it.
 """
 
 from collections.abc import Iterable, Sequence
@@ -23,13 +24,13 @@
         ...
 
 
-def is_retry_harmless(
+def is_retry_safe(
     request_class: RequestClass, executions: Sequence[Execution], is_retry: bool, received: float
 ) -> bool:
-    """Return whether a client that is told to retry cannot cause a second execution.
+    """Return whether no retry of a rejected request can cause a second execution.
 
     Caches drop repeats of an idempotency key only for `deduplication_window` after the first execution. The
-    client must have stopped waiting by then: it may come back later than it was told, and to another front,
+    client must have stopped waiting by then: it may retry later than Retry-After says, and at another front,
     which does not know of the first execution. Side effect: with a window shorter than `deadline_after`, a
     request that may have been executed fails, so its client gets no Retry-After.
 
@@ -55,6 +56,6 @@
     return first + window >= client_leaves
 
 
-def is_any_retry_harmless(classes: Iterable[RequestClass]) -> bool:
-    """Return whether a retry is harmless for a request of unknown class of which this front sent nothing."""
-    return all(is_retry_harmless(request_class, (), True, 0.0) for request_class in classes)
+def is_any_retry_safe(classes: Iterable[RequestClass]) -> bool:
+    """Return whether a request of unknown class may be rejected if this front has made no attempt at it."""
+    return all(is_retry_safe(request_class, (), True, 0.0) for request_class in classes)
