--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig"))
 import rig
 
-BAD_CLIENTS = 40
+BAD_CLIENTS = 100
 MESSAGES = 4  # messages of each bad client
 ELEMENTS = 60_000
 DAY = 12.0  # seconds of usual requests
