--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -281,12 +281,14 @@
         self.received = time.monotonic()
         self.ended: float | None = None
         self.word = ""
+        self.connection: CacheConnection | None = None
 
 
 class CacheConnection(asyncio.Protocol):
     def __init__(self, cache: Cache) -> None:
         self.cache, self.data, self.open = cache, b"", {}
         self.is_closed = False
+        self.is_useless = False  # set by a case: no answer comes on it any more
 
     def connection_made(self, transport) -> None:
         self.transport = transport
@@ -341,6 +343,7 @@
     def do(self, command: Command) -> None:
         cache = self.cache
         site = cache.site
+        command.connection = self
         site.attempts.append((cache, command))
         site.log("cache gets", cache=cache.uid, id=command.name, **command.fields)
         word, fields, body = (cache.answer and cache.answer(command)) or cache.execute(command)
