--- a/review/test_cases_2.py
+++ b/review/test_cases_2.py
@@ -1,4 +1,4 @@
-"""The cases 6 to 8 of the review as tests; skipped unless WELDBEND_REVIEW_2 is set, so CI runs none of them."""
+"""The cases 6 to 8 as tests; skipped unless WELDBEND_REVIEW_2 is set, so CI runs none of them."""
 
 import os
 import subprocess
