--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -727,7 +727,11 @@
 
 
 def main(folder: str, case) -> None:
-    """Run a case, `case(site_folder)`, which returns None if the rule held, or how it was broken."""
+    """Run a case, `case(site_folder)`, which returns None if the rule held, or how it was broken.
+
+    A case that is told to end (SIGTERM) ends its fronts first, and counts as one that could not run.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(case(Path(folder).resolve()), 115))
     except (CannotRunError, OSError, TimeoutError) as error:
