--- a/review/6/case.py
+++ b/review/6/case.py
@@ -35,6 +35,7 @@
     with contextlib.suppress(OSError):
         reader, writer = await asyncio.open_connection(host, int(port))
         with contextlib.suppress(OSError):
+            site.log("bad client sends", messages=MESSAGES)
             writer.write(b"".join(bad_message(n) for n in range(1, MESSAGES + 1)))
             received = await asyncio.wait_for(reader.read(), 60)
             outcomes.append(f"{len(received)} bytes and a close")
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -560,13 +560,6 @@
     def is_running(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
-    def memory_mb(self) -> float:
-        with contextlib.suppress(OSError):
-            for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-                if line.startswith("VmHWM:"):
-                    return int(line.split()[1]) / 1024
-        return 0.0
-
 
 CLASSES = {
     "clip-parts": {"deadline": 5.0, "aim": 0.5, "effect": "idempotent", "window": 5.0, "write": False},
@@ -734,7 +727,7 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(case(Path(folder).resolve()), 115))
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except Exception as error:  # noqa: BLE001 - a fault of the script is no broken rule
         print(f"the case could not run: {type(error).__name__} {error}")
         sys.exit(2)
     print(f"BROKEN: {broken}" if broken else "the rule held")
