Do not repeat a retry whose first attempt at another front may be out of its window

Cause: Admission.is_safe counted the deduplication window from this front's own first attempt, though a retry tells that another front, or this one before a restart, may have made an earlier one.

The window of a possible retry is now counted from the earliest time at which its client can have sent the first try (routing/retry_safety.py), which the retry's deadline shows; an attempt at once is always allowed, as clients retry within the window. An attempt that may not be repeated is no longer cancelled for being late, and its silent connection is retired instead. Classes with a window of at least their deadline are decided as before.

--- a/weldbend/caches/attempt.py
+++ b/weldbend/caches/attempt.py
@@ -27,6 +27,9 @@
     def cancel(self, attempt: "Attempt") -> None:
         """Cancel an attempt that is in flight on this connection."""
 
+    def drain(self) -> None:
+        """Accept no further attempts, and close once those in flight have ended."""
+
 
 @dataclass(eq=False, slots=True)
 class Attempt:
--- a/weldbend/front/admission.py
+++ b/weldbend/front/admission.py
@@ -5,11 +5,17 @@
 from weldbend.front.attempts import AttemptManager
 from weldbend.front.context import FrontContext
 from weldbend.front.event_queue import EventQueue
+from weldbend.front.execution_history import PastAttempts
 from weldbend.front.open_requests import OpenRequest, RequestTable
 from weldbend.front.request_codec import InvalidRequestError, ParsedRequest
-from weldbend.routing.events import PossibleExecution, RequestReceived
+from weldbend.routing.events import RequestReceived
 from weldbend.routing.memory_budget import REQUEST_SIZE, MemoryReservation
-from weldbend.routing.retry_safety import is_any_retry_safe, is_retry_safe
+from weldbend.routing.retry_safety import (
+    is_any_retry_safe,
+    is_key_short_lived,
+    is_retry_safe,
+    may_have_unknown_attempts,
+)
 from weldbend.thrift.messages import Process
 
 OVER_MEMORY_LIMIT = "requests over the memory limit"  # name of the counter, as the log shows it
@@ -80,7 +86,7 @@
         request = self._open(client_request, parsed, call.body, memory)
         self.context.counters.counts["requests"] += 1
         received = self._request_received(request)
-        request.has_earlier_executions = bool(received.possible_executions)
+        request.may_be_executed = self._may_be_executed(received)
         self.queue.post(received)
 
     def _reject(self, client_request: ClientRequest, parsed: ParsedRequest, counter: str) -> None:
@@ -93,23 +99,37 @@
         """
         settings = self.context.site.settings
         self.context.counters.counts[counter] += 1
-        executions = self._possible_executions(parsed)
+        past = self._past_attempts(parsed)
         request_class = settings.classes[parsed.class_name]
-        if is_retry_safe(request_class, executions, parsed.is_retry, self.context.clock.now()):
+        has_unknown = self._has_unknown_attempts(parsed.is_retry, past.includes_first_attempt)
+        if is_retry_safe(request_class, past.executions, has_unknown, self.context.clock.now()):
             client_request.answer_rejected(settings.max_retry_after)
         else:
             client_request.answer_failed()
 
-    def _possible_executions(self, parsed: ParsedRequest) -> tuple[PossibleExecution, ...]:
+    def _past_attempts(self, parsed: ParsedRequest) -> PastAttempts:
         """Return the attempts of earlier requests with the same key that may have been executed."""
         key = parsed.idempotency_key
         if key is None:
-            return ()
+            return PastAttempts()
         fleet = self.context.fleet
-        known = self.attempts.history.executions(parsed.class_name, key, self.context.clock.now())
+        past = self.attempts.history.past_attempts(parsed.class_name, key, self.context.clock.now())
+        known = past.executions
         if fleet:
             known += fleet.possible_executions(parsed.class_name, key, parsed.is_retry)
-        return tuple(sorted(known, key=lambda execution: execution.sent))
+        executions = tuple(sorted(known, key=lambda execution: execution.sent))
+        return PastAttempts(executions, past.includes_first_attempt)
+
+    def _has_unknown_attempts(self, is_retry: bool, includes_first_attempt: bool) -> bool:
+        """Return whether attempts at a request may have been made that this front does not know of."""
+        marks_retries = self.context.site.settings.marks_retries
+        return may_have_unknown_attempts(is_retry, marks_retries, includes_first_attempt)
+
+    def _may_be_executed(self, received: RequestReceived) -> bool:
+        """Return whether attempts are allowed for a limited time only, because of earlier ones."""
+        request_class = self.context.site.settings.classes[received.class_name]
+        has_unknown = self._has_unknown_attempts(received.is_retry, received.includes_first_attempt)
+        return bool(received.possible_executions) or (is_key_short_lived(request_class) and has_unknown)
 
     @staticmethod
     def _refuse_duplicate(client_request: ClientRequest, open_request: ClientRequest) -> None:
@@ -140,6 +160,7 @@
 
     def _request_received(self, request: OpenRequest) -> RequestReceived:
         parsed = request.parsed
+        past = self._past_attempts(parsed)
         fleet = self.context.fleet
         client = request.client_request.client
         return RequestReceived(
@@ -152,11 +173,13 @@
             is_retry=parsed.is_retry,
             deadline=request.deadline,
             queued_for=request.client_request.read_delay,
-            possible_executions=self._possible_executions(parsed),
+            possible_executions=past.executions,
             requested_elsewhere=(
                 fleet.count_request(parsed.class_name, parsed.key, parsed.part, parsed.is_retry)
                 if fleet
                 else 0
             ),
             over_limit=bool(fleet and fleet.is_over_limit(parsed.class_name, client.host())),
+            includes_first_attempt=past.includes_first_attempt,
+            received_at=request.client_request.received_at,
         )
--- a/weldbend/front/attempts.py
+++ b/weldbend/front/attempts.py
@@ -10,7 +10,7 @@
 from weldbend.front.context import FrontContext
 from weldbend.front.endpoint_updates import EndpointUpdates
 from weldbend.front.event_queue import EventQueue
-from weldbend.front.execution_history import AttemptId, ExecutionHistory
+from weldbend.front.execution_history import AttemptId, ExecutionHistory, SentAttempt
 from weldbend.front.open_requests import OpenRequest, RequestTable
 from weldbend.invariants import anomalies, check_invariant
 from weldbend.routing.actions import AnswerReason, SendAttempt
@@ -82,16 +82,17 @@
         remaining = request.deadline - self.context.clock.now()
         timeout = min(action.timeout, remaining) if action.timeout else remaining
         if parsed.idempotency_key:
-            self._record_sent(parsed.class_name, parsed.idempotency_key, action.cache, attempt_id)
+            sent = SentAttempt(attempt_id, action.cache, self.context.clock.now(), parsed.is_retry)
+            self._record_sent(parsed.class_name, parsed.idempotency_key, sent)
         fields = request_codec.attempt_fields(parsed, action, source, timeout)
         return commands.do(parsed.client_id, fields, request.body)
 
-    def _record_sent(self, class_name: str, key: str, cache: int, attempt_id: AttemptId) -> None:
+    def _record_sent(self, class_name: str, key: str, sent: SentAttempt) -> None:
         """Record that an attempt may be executed from now on, for the client's retry here or elsewhere."""
         if self.context.fleet:
-            self.context.fleet.attempt_sent(class_name, key, cache)
+            self.context.fleet.attempt_sent(class_name, key, sent.cache)
         if request_class := self.context.site.settings.classes.get(class_name):
-            self.history.record(request_class, key, attempt_id, cache, self.context.clock.now())
+            self.history.record(request_class, key, sent)
 
     def _may_decision_expire_soon(self, request: OpenRequest, action: SendAttempt) -> bool:
         """Return whether the router's decision to send a new attempt may soon become invalid.
@@ -100,7 +101,7 @@
         to use a cache in slow start depends on the present budget of that cache.
         """
         # `request.attempts` holds only the earlier attempts: the new one is added after this call.
-        is_retry = request.attempts or request.has_earlier_executions
+        is_retry = request.attempts or request.may_be_executed
         is_non_idempotent_retry = is_retry and request.idempotency is not Idempotency.IDEMPOTENT
         return bool(is_non_idempotent_retry) or not self.endpoints.started.isdisjoint(
             (action.cache, action.source)
--- a/weldbend/front/dispatcher.py
+++ b/weldbend/front/dispatcher.py
@@ -30,6 +30,7 @@
     CancelAttempt,
     FailRequest,
     RejectRequest,
+    RetireConnection,
     SendAttempt,
     SendHealthCheck,
     SetTimer,
@@ -71,6 +72,7 @@
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
             SendAttempt: self.attempts.send,
             CancelAttempt: self._cancel_attempt,
+            RetireConnection: self._retire_connection,
             RejectRequest: self._reject_request,
             FailRequest: self._fail_request,
             SetTimer: self._set_timer,
@@ -183,6 +185,11 @@
         if request := self.requests.by_id.get(action.id):
             self.attempts.cancel(request, request.attempts[action.attempt])
 
+    def _retire_connection(self, action: RetireConnection) -> None:
+        request = self.requests.by_id.get(action.id)
+        if request and (connection := request.attempts[action.attempt].connection):
+            connection.drain()
+
     def _reject_request(self, action: RejectRequest) -> None:
         if request := self.requests.by_id.get(action.id):
             self.attempts.reject(request, action.retry_after, action.reason)
--- a/weldbend/front/execution_history.py
+++ b/weldbend/front/execution_history.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from weldbend.routing.events import PossibleExecution
 from weldbend.routing.settings import Idempotency, RequestClass
@@ -29,19 +29,50 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class SentAttempt:
+    """An attempt that is about to be sent.
+
+    Attributes:
+        id: identifier of the attempt.
+        cache: number of the cache that it is sent to.
+        at: time at which it is sent, in seconds of the front's clock.
+        is_retry: whether the client marked the request as a retry.
+    """
+
+    id: AttemptId
+    cache: int
+    at: float
+    is_retry: bool
+
+
 @dataclass(slots=True)
 class KeyRecord:
     """The attempts under one idempotency key.
 
     Attributes:
+        includes_first_attempt: whether the first attempt that any front made is among them.
         expires_at: time after which no client retries the request.
         executions: attempts that may have been executed, the earliest first.
     """
 
+    includes_first_attempt: bool
     expires_at: float = 0.0
     executions: dict[AttemptId, PossibleExecution] = field(default_factory=dict)
 
 
+class PastAttempts(NamedTuple):
+    """What this front knows of the attempts under one idempotency key.
+
+    Attributes:
+        executions: attempts that may have been executed, the earliest first.
+        includes_first_attempt: whether the first attempt that any front made is among them.
+    """
+
+    executions: tuple[PossibleExecution, ...] = ()
+    includes_first_attempt: bool = False
+
+
 class ExecutionHistory:
     """The attempts that this front has sent and that may have been executed, by class and idempotency key."""
 
@@ -52,19 +83,17 @@
     def __len__(self) -> int:
         return sum(len(records) for records in self._records.values())
 
-    def record(
-        self, request_class: RequestClass, key: str, attempt: AttemptId, cache: int, now: float
-    ) -> None:
+    def record(self, request_class: RequestClass, key: str, sent: SentAttempt) -> None:
         """Record an attempt; must be called before its first byte is sent."""
-        self._remove_expired(now)
+        self._remove_expired(sent.at)
         if request_class.idempotency is not Idempotency.DEDUPLICATED:
             return
-        location = self._caches.get(cache)
+        location = self._caches.get(sent.cache)
         zone, cell = (location.zone, location.cell) if location else ("", UNKNOWN_CELL)
         records = self._records.setdefault(request_class.name, {})
-        record = records.pop(key, None) or KeyRecord()
-        record.expires_at = now + max(request_class.deadline_after, request_class.deduplication_window)
-        record.executions[attempt] = PossibleExecution(zone, cell, now)
+        record = records.pop(key, None) or KeyRecord(includes_first_attempt=not sent.is_retry)
+        record.expires_at = sent.at + max(request_class.deadline_after, request_class.deduplication_window)
+        record.executions[sent.id] = PossibleExecution(zone, cell, sent.at)
         records[key] = record
 
     def withdraw(self, class_name: str, key: str, attempt: AttemptId) -> None:
@@ -75,11 +104,13 @@
             if not record.executions:
                 del records[key]
 
-    def executions(self, class_name: str, key: str, now: float) -> tuple[PossibleExecution, ...]:
-        """Return the attempts under a key that may have been executed, the earliest first."""
+    def past_attempts(self, class_name: str, key: str, now: float) -> PastAttempts:
+        """Return the attempts under a key that may have been executed."""
         self._remove_expired(now)
         record = self._records.get(class_name, {}).get(key)
-        return tuple(record.executions.values()) if record else ()
+        if record is None:
+            return PastAttempts()
+        return PastAttempts(tuple(record.executions.values()), record.includes_first_attempt)
 
     def _remove_expired(self, now: float) -> None:
         for records in self._records.values():
--- a/weldbend/front/open_requests.py
+++ b/weldbend/front/open_requests.py
@@ -25,8 +25,8 @@
         attempts: attempts in the order of the router's decisions.
         attempt_times: time at which each attempt was begun, in the order of `attempts`.
         timers: timers that are cancelled when the request has finished.
-        has_earlier_executions: whether an attempt at an earlier request with the same idempotency key may
-            have been executed.
+        may_be_executed: whether an attempt at an earlier request with the same idempotency key may have been
+            executed, so that attempts are allowed for a limited time only.
         is_closed: whether the request was answered or cancelled.
     """
 
@@ -40,7 +40,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     attempt_times: list[float] = field(default_factory=list)
     timers: list[Timer] = field(default_factory=list)
-    has_earlier_executions: bool = False
+    may_be_executed: bool = False
     is_closed: bool = False
 
     def has_attempt_in_flight(self) -> bool:
--- a/weldbend/routing/actions.py
+++ b/weldbend/routing/actions.py
@@ -64,6 +64,17 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class RetireConnection:
+    """Send nothing more on the connection of an attempt, as it is silent; attempts in flight may finish.
+
+    `attempt` is the number of the attempt, counted from 0 in each request.
+    """
+
+    id: str
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class RejectRequest:
     """Final answer: rejected; the client may retry after `retry_after` seconds (0: not specified)."""
@@ -125,6 +136,7 @@
 Action = (
     SendAttempt
     | CancelAttempt
+    | RetireConnection
     | RejectRequest
     | FailRequest
     | SetTimer
--- a/weldbend/routing/admission.py
+++ b/weldbend/routing/admission.py
@@ -13,8 +13,14 @@
 from weldbend.routing.purge_table import PurgeTable
 from weldbend.routing.records import Attempt, shares_idempotency_keys
 from weldbend.routing.requests import Request
-from weldbend.routing.retry_safety import is_retry_safe
-from weldbend.routing.settings import Idempotency, Role
+from weldbend.routing.retry_safety import (
+    is_key_short_lived,
+    is_retry_safe,
+    may_have_unknown_attempts,
+    remembered_until,
+    safe_until,
+)
+from weldbend.routing.settings import Idempotency, RequestClass, Role
 from weldbend.routing.warm_load import WarmLoad
 from weldbend.routing.windows import DecayingAverage, WindowedSum
 
@@ -62,10 +68,8 @@
                     self.send(message)
             case events.AttemptEnded():
                 self.end(message)
-            case Suspicion(attempt) if attempt.result is None and self.context.settings.allows_cancel:
-                self.context.actions.append(
-                    actions.CancelAttempt(attempt.request.received.id, attempt.number)
-                )
+            case Suspicion(attempt) if attempt.result is None:
+                self.cancel_suspected(attempt)
             case events.ObjectsPurged():
                 self.record_purge(message)
             case Request() if not message.is_closed:
@@ -96,15 +100,32 @@
         excess = loads[reason] - (2 if request_class.priority_weight >= highest else 1)
         if excess > 0 and context.random.random() < excess:
             executions = received.possible_executions
-            if is_retry_safe(request_class, executions, received.is_retry, context.now):
+            has_unknown = self.has_unknown_attempts(received, request_class)
+            if is_retry_safe(request_class, executions, has_unknown, context.now):
                 retry_after = context.settings.max_retry_after
                 context.actions.append(actions.RejectRequest(received.id, retry_after, reason))
             else:
                 context.actions.append(actions.FailRequest(received.id, reason))
         else:
             request = Request(context, received, request_class)
+            if is_key_short_lived(request_class) and self.has_unknown_attempts(received, request_class):
+                received_at = context.now if received.received_at is None else received.received_at
+                request.unknown_until = remembered_until(request_class, received, received_at)
             context.post(context.requests.setdefault(received.id, request), received)
 
+    def has_unknown_attempts(self, received: events.RequestReceived, request_class: RequestClass) -> bool:
+        """Return whether attempts at a request may have been made that this front does not know of.
+
+        A front that is the only one of its site knows all attempts of the time since its start.
+        """
+        settings = self.context.settings
+        running_for = self.context.now - self.context.started_at
+        if settings.fronts == 1 and running_for >= request_class.deadline_after:
+            return False
+        return may_have_unknown_attempts(
+            received.is_retry, settings.marks_retries, received.includes_first_attempt
+        )
+
     def find_block(self, attempt: Attempt) -> Blocked | None:
         """Return what blocks an attempt, or None if it may be sent.
 
@@ -114,7 +135,7 @@
         statistics = self.context.statistics
         if exhausted := self.find_exhausted_limit(request):
             return Blocked(None, exhausted)
-        if not self.is_safe(attempt):
+        if not self.is_safe(request):
             return Blocked(None, AnswerReason.UNSAFE_RETRY)
         if not self.is_deduplicated(attempt):
             return Blocked(attempt.cache, AnswerReason.NOT_DEDUPLICATED)
@@ -173,20 +194,33 @@
             return AnswerReason.ATTEMPT_LIMIT
         return AnswerReason.RETRY_BUDGET if is_budget_spent else None
 
-    def is_safe(self, attempt: Attempt) -> bool:
+    def is_safe(self, request: Request) -> bool:
         """Return whether an attempt cannot cause a second effect and is no hedge that the site forbids."""
-        request = attempt.request
-        settings = self.context.settings
+        is_forbidden_hedge = not self.context.settings.allows_hedging and request.in_flight()
+        return not is_forbidden_hedge and self.is_repeatable(request)
+
+    def is_repeatable(self, request: Request) -> bool:
+        """Return whether another attempt at a request cannot cause a second effect now.
+
+        A tick is the longest time between two batches of events. No further attempt is sent in the last two
+        ticks before the caches may forget the key of the first execution.
+        """
         executions = request.possible_executions()
-        request_class = request.request_class
-        if not settings.allows_hedging and request.in_flight():
-            return False
-        if not executions or request_class.idempotency is Idempotency.IDEMPOTENT:
-            return True
-        # A tick is the longest time between two batches of events. No further attempt is sent in the last
-        # two ticks before the caches may forget the key of the first execution.
-        until = executions[0].sent + request_class.deduplication_window - 2 * settings.tick
-        return request_class.idempotency is Idempotency.DEDUPLICATED and self.context.now < until
+        margin = 2 * self.context.settings.tick
+        return self.context.now < safe_until(request.request_class, executions, request.unknown_until, margin)
+
+    def cancel_suspected(self, attempt: Attempt) -> None:
+        """Cancel a suspected attempt, so that another one may replace it.
+
+        An attempt that may not be repeated is not cancelled: it is the last chance of its request. If its
+        connection is silent, other requests are kept from it, as they are by a cancellation.
+        """
+        request_id = attempt.request.received.id
+        if self.is_repeatable(attempt.request):
+            if self.context.settings.allows_cancel:
+                self.context.actions.append(actions.CancelAttempt(request_id, attempt.number))
+        elif attempt.is_silent:
+            self.context.actions.append(actions.RetireConnection(request_id, attempt.number))
 
     def is_deduplicated(self, attempt: Attempt) -> bool:
         """Return whether the cache of an attempt recognises the keys of all possible executions.
@@ -259,8 +293,8 @@
         request_id = request.received.id
         reason = request.answer_reason
         executions = request.possible_executions()
-        is_retry = request.received.is_retry
-        if is_retry_safe(request.request_class, executions, is_retry, request.admitted_at):
+        has_unknown = self.has_unknown_attempts(request.received, request.request_class)
+        if is_retry_safe(request.request_class, executions, has_unknown, request.admitted_at):
             retry_after = min(self.context.settings.max_retry_after, RETRY_AFTER)
             self.context.actions.append(actions.RejectRequest(request_id, retry_after, reason))
         else:
--- a/weldbend/routing/events.py
+++ b/weldbend/routing/events.py
@@ -148,6 +148,8 @@
         queued_for: seconds for which the request was queued unread behind earlier ones.
         possible_executions: earlier attempts of this request that may have been executed: by other fronts,
             and by this front before the client's retry.
+        includes_first_attempt: whether the first attempt that any front made is among them.
+        received_at: earliest time at which the request can have arrived; None if it has just arrived.
         requested_elsewhere: number of recent requests for the object at other fronts.
         over_limit: whether the request exceeds a fleet-wide limit.
     """
@@ -164,6 +166,8 @@
     possible_executions: tuple[PossibleExecution, ...] = ()
     requested_elsewhere: int = 0
     over_limit: bool = False
+    includes_first_attempt: bool = False
+    received_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldbend/routing/records.py
+++ b/weldbend/routing/records.py
@@ -123,6 +123,8 @@
         admitted_at: time at which the router received the request.
         executions: attempts of this request that may have been executed: those of other fronts, and those
             that this front sent before the client's retry.
+        unknown_until: time until which caches remember the key of an execution that this front does not
+            know; infinite if there can be none.
         attempts: attempts of this front, in the order in which they were sent.
         failed_caches: caches that failed to answer this request.
         ruled_out: caches at which admission blocked an attempt; they are not used again for this request.
@@ -144,6 +146,7 @@
         self.object_name = f"{received.key} {received.part}"
         self.admitted_at = context.now
         self.executions = list(received.possible_executions)
+        self.unknown_until = math.inf
         self.attempts: list[Attempt] = []
         self.failed_caches: set[Cache] = set()
         self.ruled_out: set[Cache] = set()
--- a/weldbend/routing/requests.py
+++ b/weldbend/routing/requests.py
@@ -102,7 +102,7 @@
         suspicion an attempt gets a second timeout if its connection is not silent and, where hedging is
         allowed, the cache responsible is trusted. The first suspicion also counts as a failure of that cache.
         A connection without data is considered silent only if answers were expected on it, or at the second
-        suspicion. An attempt of a non-idempotent request is neither repeated nor cancelled on suspicion.
+        suspicion. An attempt that may not be repeated is not cancelled either (`Admission.cancel_suspected`).
         Side effect: the first attempts at a cache that stops answering are late.
         """
         context = self.context
@@ -119,7 +119,7 @@
             self.set_timeout(attempt)
         elif hedges and self.request_class.idempotency is not Idempotency.NON_IDEMPOTENT:
             context.post(context.placement, self)
-        elif self.request_class.idempotency is not Idempotency.NON_IDEMPOTENT:
+        else:
             context.post(context.admission, Suspicion(attempt))
 
     def attempt_ended(self, attempt: Attempt) -> None:
--- a/weldbend/routing/settings.py
+++ b/weldbend/routing/settings.py
@@ -111,6 +111,7 @@
         purge_grace: seconds, counted from the time at which a front learns of a purge, after which no copy
             older than the purge may be used in an answer.
         purge_complete_after: seconds after which a purge has reached every cache.
+        marks_retries: whether clients mark their retries; if not, every request may be a retry.
     """
 
     zone: str
@@ -138,6 +139,7 @@
     parent_overload_factor: float
     purge_grace: float
     purge_complete_after: float
+    marks_retries: bool = True
 
     def warm_up(self, role: Role) -> WarmUp:
         """Return the warm-up parameters of caches of a role."""
--- a/weldbend/simhost/host.py
+++ b/weldbend/simhost/host.py
@@ -40,7 +40,8 @@
         events = self.events
         self.events = []
         try:
-            return [wire.action_text(action) for action in self.router.handle(now, events)]
+            texts = (wire.action_text(action) for action in self.router.handle(now, events))
+            return [text for text in texts if text is not None]
         except Exception as error:  # noqa: BLE001 - any error is reported to the simulator
             return ["panic " + "".join(traceback.format_exception(error)).replace("\n", " | ")]
 
--- a/weldbend/simhost/wire.py
+++ b/weldbend/simhost/wire.py
@@ -13,6 +13,7 @@
     CancelAttempt,
     FailRequest,
     RejectRequest,
+    RetireConnection,
     SendAttempt,
     SendHealthCheck,
     SendMessage,
@@ -299,8 +300,8 @@
             return f"record {text}"
 
 
-def action_text(action: Action) -> str:
-    """Format an action as a line of the protocol."""
+def action_text(action: Action) -> str | None:
+    """Format an action as a line of the protocol; None if the simulator has nothing that corresponds."""
     match action:
         case SendAttempt():
             return _send_attempt_text(action)
@@ -310,5 +311,7 @@
             return f"say_no {name} {to_microseconds(retry_after)}"
         case FailRequest(name, _):
             return f"end_failed {name}"
+        case RetireConnection():
+            return None
         case _:
             return _other_action_text(action)
--- a/weldbend/site_settings.py
+++ b/weldbend/site_settings.py
@@ -97,4 +97,5 @@
         parent_overload_factor=family["parent_breaks_at"],
         purge_grace=family["purge_slack_us"] / MICROSECONDS_PER_SECOND,
         purge_complete_after=family["gone_everywhere_us"] / MICROSECONDS_PER_SECOND,
+        marks_retries=bool(raw.get("client_habits", {}).get("marks_retry", True)),
     )
