Bound the number of values in a client's message, so that its shape cannot stop a front

Cause: skipping a container or decoding a map takes several calls for each value, and a value may be one byte; the reactor reads all readable connections before it runs timers. Evidence: one such message took 46 ms (15,000 fields 32 ms, 12,000 lists 27 ms), a request 0.02 ms; a correct length takes as long.

A frame may have 128 values now, containers of fixed-width elements are skipped at once.

--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -2,6 +2,7 @@
 
 import random
 import struct
+import sys
 from contextlib import suppress
 
 import pytest
@@ -139,6 +140,77 @@
         assert (invalid_call.seqid, invalid_call.reason) == (7, reason)
 
 
+def call_count(function, *arguments):
+    """Return how many functions and methods, also built-in ones, a call of `function` calls in all."""
+    count = 0
+
+    def profile(_, event, __):
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(profile)
+    try:
+        function(*arguments)
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+def container(kind, elements, count, size):
+    """Return an unknown field: a container of `count` elements, of which only `size` bytes follow."""
+    return bytes((kind, 0, 9)) + bytes(elements) + struct.pack(">i", count) + b"\0" * size
+
+
+ARGUMENTS = process(7)[4:]
+LONGEST = 60_000  # bytes of arguments, a little less than the longest frame
+
+
+MAX_WORK = 20 * binary.MAX_VALUES  # calls of functions
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [
+        pytest.param(container(binary.LIST, (binary.STRUCT,), LONGEST, LONGEST - 1), id="truncated list"),
+        pytest.param(container(binary.LIST, (binary.STRUCT,), LONGEST, LONGEST), id="list of structs"),
+        pytest.param(container(binary.SET, (binary.STRING,), LONGEST // 4, LONGEST), id="set of strings"),
+        pytest.param(container(binary.MAP, (binary.STRING, binary.BYTE), LONGEST // 5, LONGEST), id="map"),
+        pytest.param(container(binary.MAP, (binary.BOOL, binary.STRUCT), LONGEST // 2, LONGEST), id="map 2"),
+        pytest.param(container(binary.LIST, (binary.LIST,), LONGEST // 5, LONGEST), id="list of lists"),
+        pytest.param(binary.field(binary.BOOL, 9, b"\1") * (LONGEST // 4), id="fields"),
+        pytest.param(binary.field(binary.STRUCT, 9, b"\0") * (LONGEST // 4), id="fields of empty structs"),
+    ],
+)
+def test_the_work_to_decode_a_call_is_bounded_whatever_its_shape(extra):
+    """Skipping 60 kB of empty structs took 50 ms, so a hundred clients stopped a front for seconds."""
+    call = ARGUMENTS[:-1] + extra + b"\0"
+    assert isinstance(messages.read_call(call), messages.InvalidCall)
+    assert call_count(messages.read_call, call) < MAX_WORK
+
+
+def test_the_work_to_decode_the_fields_of_a_request_is_bounded_as_well():
+    """A client sent requests with thousands of short fields."""
+    many = {f"{number:04x}": "" for number in range(LONGEST // 12)}
+    call = process(7, **many)[4:]
+    assert messages.read_call(call).reason == f"more than {binary.MAX_VALUES} values"
+    assert call_count(messages.read_call, call) < MAX_WORK
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [
+        pytest.param(container(binary.LIST, (binary.I64,), LONGEST // 8, LONGEST), id="numbers"),
+        pytest.param(container(binary.MAP, (binary.I32, binary.I32), LONGEST // 8, LONGEST), id="map"),
+        pytest.param(container(binary.LIST, (binary.STRING,), 10, 40), id="strings"),
+        pytest.param(binary.field(binary.STRUCT, 9, binary.field(binary.BYTE, 1, b"x") + b"\0"), id="struct"),
+    ],
+)
+def test_unknown_fields_of_a_moderate_number_of_values_are_skipped(extra):
+    call = ARGUMENTS[:-1] + extra + b"\0"
+    assert messages.read_call(call) == messages.read_call(ARGUMENTS)
+    assert call_count(messages.read_call, call) < MAX_WORK
+
+
 def test_valid_input_with_random_bytes_changed_raises_only_the_errors_of_invalid_input():
     rng = random.Random(5)
     for _ in range(3000):
--- a/weldbend/thrift/binary.py
+++ b/weldbend/thrift/binary.py
@@ -1,8 +1,9 @@
 """Thrift's strict binary protocol: decoding of complete frames, and encoding of values and message headers.
 
 Every length is checked against the remaining bytes of the frame before the value is read. Unknown fields are
-skipped, down to a bounded depth of nesting. The format is that of the Apache Thrift binary protocol
-specification.
+skipped, down to a bounded depth of nesting. The number of values is bounded as well: a frame may consist of
+one-byte values, so the time to decode it would otherwise be a multiple of that for a regular frame of its
+length. The format is that of the Apache Thrift binary protocol specification.
 """
 
 import struct
@@ -14,6 +15,7 @@
     InvalidTextError,
     MapTypesError,
     NestingError,
+    TooManyValuesError,
     TruncatedError,
     UnknownTypeError,
     UnsupportedVersionError,
@@ -43,6 +45,7 @@
 WIDTHS = {BOOL: 1, BYTE: 1, DOUBLE: 8, I16: 2, I32: 4, I64: 8}  # encoded size of a value (bytes)
 MIN_WIDTHS = {STRING: 4, STRUCT: 1, MAP: 6, SET: 5, LIST: 5}  # smallest encoded size of a value (bytes)
 MAX_DEPTH = 16  # levels of nesting in a skipped value
+MAX_VALUES = 128  # values in a frame; the arguments of a request have about 25
 
 _I16 = struct.Struct(">h")
 _I32 = struct.Struct(">i")
@@ -71,11 +74,13 @@
     Attributes:
         data: Content of the frame, without its length prefix.
         position: Number of bytes read so far.
+        value_count: Number of values read or skipped so far; elements of a fixed width count as one together.
     """
 
     def __init__(self, data: bytes) -> None:
         self.data = data
         self.position = 0
+        self.value_count = 0
 
     def read_bytes(self, count: int) -> bytes:
         """Read the next `count` bytes."""
@@ -104,6 +109,12 @@
         except UnicodeDecodeError:
             raise InvalidTextError from None
 
+    def _count_values(self, count: int) -> None:
+        """Count values that are about to be read one by one."""
+        self.value_count += count
+        if self.value_count > MAX_VALUES:
+            raise TooManyValuesError(MAX_VALUES)
+
     def message_header(self) -> MessageHeader:
         """Read the header of a message."""
         version = _U32.unpack(self.read_bytes(4))[0]
@@ -129,6 +140,7 @@
         The caller has to read or skip the value of a field before it continues with the next.
         """
         while (kind := self.byte()) != STOP:
+            self._count_values(1)
             yield kind, _I16.unpack(self.read_bytes(2))[0]
 
     def text_map(self) -> dict[str, str]:
@@ -137,6 +149,7 @@
         count = self.count(*kinds)
         if count and kinds != (STRING, STRING):
             raise MapTypesError(kinds)
+        self._count_values(2 * count)
         # This loop takes most of the time to decode a call, so it uses local variables and no methods.
         data = self.data
         position = self.position
@@ -166,18 +179,23 @@
             for inner, _ in self.fields():
                 self.skip(inner, depth + 1)
         elif kind == MAP:
-            key = self.byte()
-            value = self.byte()
-            for _ in range(self.count(key, value)):
-                self.skip(key, depth + 1)
-                self.skip(value, depth + 1)
+            self._skip_elements((self.byte(), self.byte()), depth)
         elif kind in (SET, LIST):
-            inner = self.byte()
-            for _ in range(self.count(inner)):
-                self.skip(inner, depth + 1)
+            self._skip_elements((self.byte(),), depth)
         else:
             raise UnknownTypeError(kind)
 
+    def _skip_elements(self, kinds: tuple[int, ...], depth: int) -> None:
+        """Skip the elements of a container, each of which consists of values of these types."""
+        count = self.count(*kinds)
+        if all(kind in WIDTHS for kind in kinds):
+            self.read_bytes(count * sum(WIDTHS[kind] for kind in kinds))
+            return
+        self._count_values(count * len(kinds))
+        for _ in range(count):
+            for kind in kinds:
+                self.skip(kind, depth + 1)
+
 
 def message_header(kind: int, name: str, seqid: int) -> bytes:
     """Encode the header of a message; see `MessageHeader`."""
--- a/weldbend/thrift/errors.py
+++ b/weldbend/thrift/errors.py
@@ -67,6 +67,14 @@
         super().__init__("nested too deep")
 
 
+class TooManyValuesError(InvalidMessageError):
+    """More values than any message of the service has."""
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(f"more than {limit} values")
+        self.limit = limit
+
+
 class UnknownTypeError(InvalidMessageError):
     """A value type that the protocol does not define."""
 
