--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -307,3 +307,27 @@
         assert len(ring) == len(expected) and ring.find(b"\n\r", start, 9000) == expected[:9000].find(
             b"\n\r", start
         )
+
+
+def test_a_search_of_a_ring_whose_content_wraps_around_copies_only_the_bytes_at_the_wrap(monkeypatch):
+    """Each search copied all of the rest, so many short lines took time in proportion to their square."""
+    copied = 0
+    peek = Ring.peek
+
+    def counting_peek(ring, count, start=0):
+        nonlocal copied
+        copied += count
+        return peek(ring, count, start)
+
+    ring = Ring(1 << 16, 1 << 16)
+    ring.write(b"x" * (1 << 16))
+    ring.skip(1 << 15)
+    ring.write(b"data\n" * 6000)
+    ring.skip(1 << 14)
+    monkeypatch.setattr(Ring, "peek", counting_peek)
+    offsets = []
+    while (end := ring.find(b"\n", 0, len(ring))) >= 0:
+        offsets.append(end)
+        ring.skip(end + 1)
+    assert offsets == [(1 << 14) + 4] + [4] * 5999
+    assert copied <= 6000
--- a/weldbend/buffers/ring.py
+++ b/weldbend/buffers/ring.py
@@ -113,8 +113,24 @@
         if end <= start:
             return -1
         contiguous = len(self.data) - self.head
-        if end <= contiguous:
-            position = self.data.find(pattern, self.head + start, self.head + end)
-            return position - self.head if position >= 0 else -1
-        position = self.peek(end - start, start).find(pattern)
-        return position + start if position >= 0 else -1
+        position = -1
+        if start < contiguous:
+            position = self.data.find(pattern, self.head + start, self.head + min(end, contiguous))
+        if position >= 0:
+            return position - self.head
+        return self._find_wrapped(pattern, start, end) if end > contiguous else -1
+
+    def _find_wrapped(self, pattern: bytes, start: int, end: int) -> int:
+        """Return the offset of `pattern` where the content wraps around or behind that place, or -1.
+
+        Only the bytes next to that place are copied, so that many searches of a long content stay cheap.
+        """
+        wrap = len(self.data) - self.head
+        overlap = len(pattern) - 1
+        seam_start = max(start, wrap - overlap)
+        seam = self.peek(max(min(end, wrap + overlap) - seam_start, 0), seam_start)
+        position = seam.find(pattern)
+        if position >= 0:
+            return position + seam_start
+        position = self.data.find(pattern, max(start - wrap, 0), end - wrap)
+        return position + wrap if position >= 0 else -1
